--- /dev/null
+++ b/admin/audit/audit.go
@@ -0,0 +1,95 @@
+// Package audit is the `audit` command.
+package audit
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"chestnutlatch/cmdkit"
+	"chestnutlatch/config"
+	"chestnutlatch/record"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+)
+
+// Options are the dependencies and flags of `audit`.
+type Options struct {
+	Factory *cmdkit.Factory
+	JSON    bool
+	Kind    string
+	ID      string
+	Who     string
+}
+
+// NewCmdAudit returns the `audit` command.
+func NewCmdAudit(f *cmdkit.Factory, runF func(*Options) error) *cobra.Command {
+	opts := &Options{Factory: f}
+	cmd := &cobra.Command{
+		Use:   "audit",
+		Short: "Show who changed what, with the records before and after",
+		Example: `  chestnutlatch audit --kind key
+  chestnutlatch audit --kind team --id fundi --json`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if runF != nil {
+				return runF(opts)
+			}
+			return auditRun(cmd.Context(), opts)
+		},
+	}
+	cmdkit.AddJSON(cmd, &opts.JSON)
+	fl := cmd.Flags()
+	fl.StringVar(&opts.Kind, "kind", "", "only records of this kind")
+	fl.StringVar(&opts.ID, "id", "", "only this record")
+	fl.StringVar(&opts.Who, "who", "", "only changes by this operator")
+	return cmd
+}
+
+func auditRun(ctx context.Context, opts *Options) error {
+	if _, err := record.KindString(opts.Kind); opts.Kind != "" && err != nil {
+		return &cmdkit.FlagError{Flag: "kind", Remedy: "use team, key, route, target or service"}
+	}
+	st, err := opts.Factory.Store()
+	if err != nil {
+		return err
+	}
+	changes, err := config.Read(ctx, st, 0, 0)
+	if err != nil {
+		return errors.Wrap(err, "read audit trail")
+	}
+	changes = opts.filter(changes)
+	if opts.JSON {
+		return opts.Factory.Streams.JSON(changes)
+	}
+	for _, c := range changes {
+		at := time.UnixMilli(int64(c.At)).UTC().Format(time.RFC3339)
+		fmt.Fprintf(opts.Factory.Streams.Out, "revision %d  %s  %s  change %s\n", c.Revision, at, c.Who, c.ID)
+		for _, it := range c.Items {
+			fmt.Fprintf(opts.Factory.Streams.Out, "  %s %s\n    before: %s\n    after:  %s\n", it.Kind, it.ID, it.Before, it.After)
+		}
+	}
+	return nil
+}
+
+// filter keeps the changes, and their items, that the flags ask for.
+func (o *Options) filter(changes []record.Change) []record.Change {
+	out := []record.Change{}
+	for _, c := range changes {
+		if o.Who != "" && c.Who != o.Who {
+			continue
+		}
+		var items []record.Item
+		for _, it := range c.Items {
+			if (o.Kind == "" || it.Kind.String() == o.Kind) && (o.ID == "" || it.ID == o.ID) {
+				items = append(items, it)
+			}
+		}
+		if len(items) > 0 {
+			c.Items = items
+			out = append(out, c)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/admin/config/export.go
@@ -0,0 +1,46 @@
+package config
+
+import (
+	"context"
+
+	"chestnutlatch/cmdkit"
+	"chestnutlatch/record"
+
+	"github.com/spf13/cobra"
+)
+
+// ExportOptions are the dependencies of `config export`.
+type ExportOptions struct {
+	Factory *cmdkit.Factory
+}
+
+// NewCmdExport returns the `config export` command.
+func NewCmdExport(f *cmdkit.Factory, runF func(*ExportOptions) error) *cobra.Command {
+	opts := &ExportOptions{Factory: f}
+	return &cobra.Command{
+		Use:     "export",
+		Short:   "Write all records in the form that `config apply` reads",
+		Example: "  chestnutlatch config export > records.json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if runF != nil {
+				return runF(opts)
+			}
+			return exportRun(cmd.Context(), opts)
+		},
+	}
+}
+
+func exportRun(ctx context.Context, opts *ExportOptions) error {
+	state, err := cmdkit.Load(ctx, opts.Factory)
+	if err != nil {
+		return err
+	}
+	items := []applyItem{}
+	for k := record.KindTeam; k <= record.KindService; k++ {
+		for _, it := range state.List(k) {
+			items = append(items, applyItem{Kind: it.Kind, ID: it.ID, Record: it.Record})
+		}
+	}
+	return opts.Factory.Streams.JSON(items)
+}
--- /dev/null
+++ b/admin/root.go
@@ -0,0 +1,52 @@
+// Package admin assembles the program's commands.
+package admin
+
+import (
+	"os"
+
+	"chestnutlatch/admin/audit"
+	"chestnutlatch/admin/config"
+	"chestnutlatch/admin/keys"
+	"chestnutlatch/admin/route"
+	"chestnutlatch/admin/serve"
+	"chestnutlatch/admin/status"
+	"chestnutlatch/admin/svc"
+	"chestnutlatch/admin/target"
+	"chestnutlatch/admin/team"
+	"chestnutlatch/cmdkit"
+
+	"github.com/spf13/cobra"
+)
+
+// NewCmdRoot returns the program's root command.
+func NewCmdRoot(s cmdkit.Streams) *cobra.Command {
+	var address string
+	f := cmdkit.NewFactory(s, &address)
+	cmd := &cobra.Command{
+		Use:   "chestnutlatch COMMAND",
+		Short: "A proxy fleet for targets with gray failures",
+		Example: `  chestnutlatch serve --config daemon.ini
+  chestnutlatch team set fundi --rate 50 --burst 100
+  chestnutlatch status`,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	cmd.SetOut(s.Out)
+	cmd.SetErr(s.Err)
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return &cmdkit.FlagError{Flag: "help", Remedy: err.Error() + "; see --help"}
+	})
+	cmd.PersistentFlags().StringVar(&address, "store", os.Getenv(cmdkit.StoreEnv), "address of the platform's store, as ip:port")
+	cmd.AddCommand(
+		serve.NewCmdServe(f, nil),
+		route.NewCmdRoute(f),
+		team.NewCmdTeam(f),
+		keys.NewCmdKey(f),
+		target.NewCmdTarget(f),
+		svc.NewCmdService(f),
+		config.NewCmdConfig(f),
+		audit.NewCmdAudit(f, nil),
+		status.NewCmdStatus(f, nil),
+	)
+	return cmd
+}
--- /dev/null
+++ b/admin/route/route.go
@@ -0,0 +1,39 @@
+// Package route is the `route` command.
+package route
+
+import (
+	"fmt"
+	"strconv"
+
+	"chestnutlatch/cmdkit"
+	"chestnutlatch/record"
+
+	"github.com/spf13/cobra"
+)
+
+var head = []string{"id", "host", "prefix", "service", "priority", "one_time", "open", "timeout_ms"}
+
+func row(b record.Body) []string {
+	r, _ := b.(record.Route)
+	return []string{
+		string(r.ID), r.Host, r.Prefix, string(r.Service), r.Priority.String(),
+		strconv.FormatBool(r.OneTime), strconv.FormatBool(r.Open), fmt.Sprint(int64(r.Timeout)),
+	}
+}
+
+// NewCmdRoute returns the `route` command.
+func NewCmdRoute(f *cmdkit.Factory) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "route COMMAND",
+		Short: "Manage routes from host and path to a service",
+		Example: `  chestnutlatch route set vouchers --prefix /vouchers --service stores --one-time --priority high
+  chestnutlatch route list`,
+	}
+	cmd.AddCommand(
+		newCmdList(f),
+		newCmdGet(f),
+		NewCmdSet(f, nil),
+		newCmdDelete(f),
+	)
+	return cmd
+}
--- /dev/null
+++ b/admin/serve/serve.go
@@ -0,0 +1,73 @@
+// Package serve is the `serve` command, which runs the daemon.
+package serve
+
+import (
+	"context"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"chestnutlatch/clock"
+	"chestnutlatch/cmdkit"
+	"chestnutlatch/daemon"
+	"chestnutlatch/setup"
+	"chestnutlatch/store"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/spf13/cobra"
+)
+
+// gcPercent trades some processor time for memory: a daemon's heap is mostly
+// the configuration, which hardly changes.
+const gcPercent = 50
+
+// Options are the dependencies and flags of `serve`.
+type Options struct {
+	Factory *cmdkit.Factory
+	File    string
+}
+
+// NewCmdServe returns the `serve` command.
+func NewCmdServe(f *cmdkit.Factory, runF func(*Options) error) *cobra.Command {
+	opts := &Options{Factory: f}
+	cmd := &cobra.Command{
+		Use:     "serve --config FILE.ini",
+		Short:   "Run the daemon beside its targets",
+		Example: "  chestnutlatch serve --config /etc/chestnutlatch.ini",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if opts.File == "" {
+				return &cmdkit.FlagError{Flag: "config", Remedy: "name the settings file"}
+			}
+			if runF != nil {
+				return runF(opts)
+			}
+			return serveRun(cmd.Context(), opts)
+		},
+	}
+	cmd.Flags().StringVar(&opts.File, "config", "", "settings file")
+	return cmd
+}
+
+func serveRun(ctx context.Context, opts *Options) error {
+	cfg, err := setup.Load(opts.File)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(cfg.MemoryLimitMB) << 20)
+	log := hclog.New(&hclog.LoggerOptions{
+		Name: "chestnutlatch", Level: cfg.LogLevel, JSONFormat: cfg.LogJSON, Output: opts.Factory.Streams.Err,
+	}).With("instance", cfg.Instance)
+	st, err := store.Dial(cfg.StoreAddress)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(cfg, clock.NewSystem(), log, st)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/admin/team/team.go
@@ -0,0 +1,30 @@
+// Package team is the `team` command.
+package team
+
+import (
+	"fmt"
+
+	"chestnutlatch/cmdkit"
+	"chestnutlatch/record"
+
+	"github.com/spf13/cobra"
+)
+
+var head = []string{"id", "rate", "burst", "weight"}
+
+func row(b record.Body) []string {
+	t, _ := b.(record.Team)
+	return []string{string(t.ID), fmt.Sprint(t.Rate), fmt.Sprint(t.Burst), fmt.Sprint(t.Weight)}
+}
+
+// NewCmdTeam returns the `team` command.
+func NewCmdTeam(f *cmdkit.Factory) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "team COMMAND",
+		Short: "Manage teams, their rates and bursts",
+		Example: `  chestnutlatch team set fundi --rate 50 --burst 100
+  chestnutlatch team list`,
+	}
+	cmd.AddCommand(newCmdList(f), newCmdGet(f), NewCmdSet(f, nil), newCmdDelete(f))
+	return cmd
+}
--- /dev/null
+++ b/daemon/inner.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+
+	"chestnutlatch/entry"
+	"chestnutlatch/ident"
+	"chestnutlatch/wire"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// innerServer serves the inner protocol.
+type innerServer struct {
+	wire.UnimplementedInnerServer
+
+	d *Daemon
+}
+
+func registerInner(d *Daemon) {
+	wire.RegisterInnerServer(d.inner, &innerServer{d: d})
+}
+
+// Forward implements wire.InnerServer.
+func (s *innerServer) Forward(ctx context.Context, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	to := ident.Instance(req.GetRelayTo())
+	if to == "" || to == s.d.instance {
+		return s.d.guard.Forward(ctx, req), nil
+	}
+	address, _, _ := s.d.members.Locate(to)
+	if address == "" {
+		return nil, status.Errorf(codes.NotFound, "instance %s is not known here: ask another daemon", to)
+	}
+	client, err := s.d.peers.Get(address)
+	if err != nil {
+		return nil, err
+	}
+	// A relayed request is not relayed again.
+	req.RelayTo = ""
+	return client.Forward(ctx, req)
+}
+
+// Ping implements wire.InnerServer.
+func (s *innerServer) Ping(context.Context, *wire.PingRequest) (*wire.PingReply, error) {
+	return &wire.PingReply{}, nil
+}
+
+// Tickets implements wire.InnerServer.
+func (s *innerServer) Tickets(_ context.Context, req *wire.TicketsRequest) (*wire.TicketsReply, error) {
+	return entry.TicketsReply(s.d.guard, ident.Team(req.GetTeam()), ident.Service(req.GetService()), int(req.GetCount())), nil
+}
+
+// Draw implements wire.InnerServer.
+func (s *innerServer) Draw(_ context.Context, req *wire.DrawRequest) (*wire.DrawReply, error) {
+	return s.d.slots.Draw(req), nil
+}
+
+// Changes implements wire.InnerServer.
+func (s *innerServer) Changes(_ context.Context, req *wire.ChangesRequest) (*wire.ChangesReply, error) {
+	entries, kept := s.d.table.Changes(ident.Revision(req.GetAfter()), int(req.GetLimit()))
+	return &wire.ChangesReply{Head: uint64(s.d.table.Revision()), Entries: entries, TooOld: !kept}, nil
+}
+
+// Snapshot implements wire.InnerServer.
+func (s *innerServer) Snapshot(_ *wire.SnapshotRequest, stream wire.Inner_SnapshotServer) error {
+	return s.d.table.Snapshot(func(rev ident.Revision, chunk []byte) error {
+		return stream.Send(&wire.SnapshotChunk{Revision: uint64(rev), Records: chunk})
+	})
+}
--- /dev/null
+++ b/daemon/operate.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"encoding/json"
+
+	"chestnutlatch/guard"
+	"chestnutlatch/ident"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Status is a daemon's own view, for operators.
+type Status struct {
+	Instance    ident.Instance    `json:"instance"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Revision    ident.Revision    `json:"revision"`
+	Records     map[string]int    `json:"records"`
+	Skipped     int               `json:"skipped_records"`
+	Members     []MemberStatus    `json:"members"`
+	RateSlots   int               `json:"rate_slots_held"`
+	TicketsOpen int               `json:"tickets_open"`
+}
+
+// MemberStatus is one member as seen from a daemon.
+type MemberStatus struct {
+	Instance   ident.Instance   `json:"instance"`
+	DataCentre ident.DataCentre `json:"data_centre"`
+	Region     ident.Region     `json:"region"`
+	Status     string           `json:"status"`
+	PathBad    bool             `json:"path_bad"`
+	Targets    []TargetStatus   `json:"targets"`
+}
+
+// TargetStatus is one target as seen from a daemon.
+type TargetStatus struct {
+	Target  ident.Target      `json:"target"`
+	Service ident.Service     `json:"service"`
+	State   ident.TargetState `json:"state"`
+	Slots   int               `json:"slots"`
+}
+
+// statusNames are the words for a member's status.
+var statusNames = [...]string{"alive", "suspect", "dead", "left"}
+
+// operate serves operators and announcing targets.
+func (d *Daemon) operate(c *fasthttp.RequestCtx) {
+	switch string(c.Path()) {
+	case "/livez":
+		c.SetBodyString("ok\n")
+	case "/readyz":
+		d.serveReady(c)
+	case "/metrics":
+		c.SetContentType("text/plain; charset=utf-8")
+		d.meter.Write(c)
+	case "/v1/status":
+		writeJSON(c, d.status())
+	case "/v1/targets":
+		d.serveTargets(c)
+	default:
+		c.Error("unknown path: use /livez, /readyz, /metrics, /v1/status or /v1/targets", fasthttp.StatusNotFound)
+	}
+}
+
+func (d *Daemon) serveReady(c *fasthttp.RequestCtx) {
+	if d.table.Revision() == 0 {
+		c.Error("no configuration yet: check the store or a peer", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	if r := d.members.Trust(d.clk.Now()); r != nil {
+		c.Error(r.Message, fasthttp.StatusServiceUnavailable)
+		return
+	}
+	c.SetBodyString("ok\n")
+}
+
+// serveTargets takes announcements (PUT) and leaves (DELETE) of local targets.
+func (d *Daemon) serveTargets(c *fasthttp.RequestCtx) {
+	var body struct {
+		Target  ident.Target  `json:"target"`
+		Service ident.Service `json:"service"`
+		Address string        `json:"address"`
+		Slots   int           `json:"slots"`
+	}
+	if err := json.Unmarshal(c.PostBody(), &body); err != nil || body.Target == "" {
+		c.Error("send JSON with target, service, address and slots", fasthttp.StatusBadRequest)
+		return
+	}
+	switch string(c.Method()) {
+	case fasthttp.MethodPut:
+		if body.Service == "" || body.Address == "" || body.Slots < 1 {
+			c.Error("service, address and slots of at least 1 are needed", fasthttp.StatusBadRequest)
+			return
+		}
+		if d.guard.Announce(guard.Spec{ID: body.Target, Service: body.Service, Address: body.Address, Slots: body.Slots}) {
+			d.log.Info("target announced itself", "target", body.Target, "service", body.Service)
+			d.members.setTargets(d.guard.Infos())
+		}
+	case fasthttp.MethodDelete:
+		if !d.guard.Leave(body.Target) {
+			c.Error("target is not known here: announce it with PUT first", fasthttp.StatusNotFound)
+			return
+		}
+		d.members.setTargets(d.guard.Infos())
+	default:
+		c.Error("use PUT to announce and DELETE to leave", fasthttp.StatusMethodNotAllowed)
+	}
+}
+
+func (d *Daemon) status() Status {
+	open, _ := d.guard.TicketStats()
+	s := Status{
+		Instance: d.instance, Incarnation: d.incarnation, Revision: d.table.Revision(),
+		Records: d.table.Counts(), Skipped: d.table.Skipped(),
+		RateSlots: d.slots.count(), TicketsOpen: open,
+	}
+	now := d.clk.Now()
+	for _, m := range d.members.list() {
+		ms := MemberStatus{
+			Instance: m.Instance, DataCentre: m.DataCentre, Region: m.Region,
+			Status: statusNames[m.Status], PathBad: d.picker.IsPathBad(now, m.Instance),
+		}
+		for _, t := range m.Targets {
+			ms.Targets = append(ms.Targets, TargetStatus{Target: t.ID, Service: t.Service, State: t.State, Slots: t.Slots})
+		}
+		s.Members = append(s.Members, ms)
+	}
+	return s
+}
+
+func writeJSON(c *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(body)
+}
--- /dev/null
+++ b/daemon/syncer.go
@@ -0,0 +1,340 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"chestnutlatch/clock"
+	"chestnutlatch/config"
+	"chestnutlatch/ident"
+	"chestnutlatch/record"
+	"chestnutlatch/store"
+	"chestnutlatch/table"
+	"chestnutlatch/wire"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// watcherCount is the number of daemons of a data centre that watch the
+	// store.
+	watcherCount = 2
+	// pullLimit bounds the changes of one answer.
+	pullLimit = 256
+	syncTick  = time.Second
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 2 * time.Second
+	// loadTimeout bounds the reading of a whole configuration.
+	loadTimeout = 30 * time.Second
+	pullTimeout = 2 * time.Second
+	// hintDepth is the number of peers remembered to pull from.
+	hintDepth = 16
+	// contactEvery is the time between two readings of the first contacts by
+	// a reporter, in milliseconds.
+	contactEvery = 10 * clock.Second
+)
+
+// syncer keeps the table up to the log: from the store if this daemon is one
+// of the watchers, else from peers.
+type syncer struct {
+	d     *Daemon
+	hints chan ident.Instance
+	// contact is when the store last answered.
+	contact atomic.Int64
+	// contacted is when the first contacts were last read.
+	contacted clock.Millis
+	// watching tells that a watch is under way.
+	watching atomic.Bool
+}
+
+func newSyncer(d *Daemon) *syncer {
+	s := &syncer{d: d, hints: make(chan ident.Instance, hintDepth)}
+	s.contact.Store(int64(-clock.Hour))
+	return s
+}
+
+func (s *syncer) lastContact() clock.Millis {
+	return clock.Millis(s.contact.Load())
+}
+
+func (s *syncer) touched() {
+	s.contact.Store(int64(s.d.clk.Now()))
+}
+
+// hint tells that a peer has a newer configuration. It does not wait.
+func (s *syncer) hint(peer ident.Instance) {
+	select {
+	case s.hints <- peer:
+	default:
+	}
+}
+
+func (s *syncer) run(ctx context.Context) {
+	s.bootstrap(ctx)
+	tick := time.NewTicker(syncTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case peer := <-s.hints:
+			s.pullFrom(ctx, peer)
+		case <-tick.C:
+			s.keepWatching(ctx)
+			s.findPeers(ctx)
+		}
+	}
+}
+
+// findPeers reads the first contacts again while this daemon knows no peer,
+// and now and then on the data centre's reporter, so that two parts of a
+// fleet that lost each other meet again.
+func (s *syncer) findPeers(ctx context.Context) {
+	now := s.d.clk.Now()
+	wait := contactEvery
+	if s.d.members.count() < 2 {
+		wait = 0
+	} else if s.d.members.rank() != 0 {
+		return
+	}
+	if now-s.contacted < wait {
+		return
+	}
+	s.contacted = now
+	s.d.members.contact(s.d.cfg.Seeds)
+	records, err := readContacts(ctx, s.d.store)
+	if err != nil {
+		s.d.log.Debug("first contacts not read", "error", err)
+		return
+	}
+	s.touched()
+	s.d.members.join(records)
+}
+
+// bootstrap finds peers and a first configuration, from peers if there are
+// any, since a snapshot from the store costs it many reads.
+func (s *syncer) bootstrap(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.d.members.contact(s.d.cfg.Seeds)
+		records, err := readContacts(ctx, s.d.store)
+		if err == nil {
+			s.touched()
+			s.d.members.join(records)
+		} else {
+			s.d.log.Warn("store has no first contact", "error", err)
+		}
+		if s.snapshotFromPeers(ctx) {
+			return
+		}
+		if err == nil && s.loadFromStore(ctx) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(syncTick):
+		}
+	}
+}
+
+func (s *syncer) loadFromStore(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	state, err := config.Load(ctx, s.d.store)
+	if err != nil {
+		s.d.log.Warn("configuration not loaded from the store", "error", err)
+		return false
+	}
+	s.touched()
+	b := table.NewBuilder()
+	b.AddState(state)
+	if s.d.table.Install(b) {
+		s.inForce("store")
+	}
+	return true
+}
+
+// snapshotFromPeers takes the configuration from the first peer that has one.
+func (s *syncer) snapshotFromPeers(ctx context.Context) bool {
+	for _, r := range s.d.members.list() {
+		if r.Instance == s.d.instance || !r.IsUp() {
+			continue
+		}
+		if err := s.snapshotFrom(ctx, r.InnerAddress); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *syncer) snapshotFrom(ctx context.Context, address string) error {
+	client, err := s.d.peers.Get(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	stream, err := client.Snapshot(ctx, &wire.SnapshotRequest{})
+	if err != nil {
+		return errors.Wrap(err, "snapshot")
+	}
+	b := table.NewBuilder()
+	for {
+		chunk, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return errors.Wrap(err, "snapshot")
+		}
+		if err := b.Add(ident.Revision(chunk.GetRevision()), chunk.GetRecords()); err != nil {
+			return err
+		}
+	}
+	if !s.d.table.Install(b) {
+		return errors.New("peer's configuration is not newer")
+	}
+	s.inForce(address)
+	return nil
+}
+
+// inForce tells the fleet of the revision now in force.
+func (s *syncer) inForce(from string) {
+	r := s.d.table.Revision()
+	s.d.log.Info("configuration in force", "revision", uint64(r), "from", from)
+	s.d.members.setRevision(r)
+}
+
+// pullFrom fetches the changes that a peer has ahead.
+func (s *syncer) pullFrom(ctx context.Context, peer ident.Instance) {
+	address, _, _ := s.d.members.Locate(peer)
+	if address == "" {
+		return
+	}
+	if err := s.pull(ctx, address); err != nil {
+		s.d.log.Warn("changes not fetched", "peer", peer, "error", err)
+	}
+}
+
+func (s *syncer) pull(ctx context.Context, address string) error {
+	client, err := s.d.peers.Get(address)
+	if err != nil {
+		return err
+	}
+	for {
+		have := s.d.table.Revision()
+		call, cancel := context.WithTimeout(ctx, pullTimeout)
+		reply, err := client.Changes(call, &wire.ChangesRequest{After: uint64(have), Limit: pullLimit})
+		cancel()
+		if err != nil {
+			return errors.Wrap(err, "changes")
+		}
+		if reply.GetTooOld() {
+			return s.snapshotFrom(ctx, address)
+		}
+		for _, entry := range reply.GetEntries() {
+			if err := s.d.table.Apply(entry); err != nil {
+				return err
+			}
+		}
+		if s.d.table.Revision() == have {
+			return nil
+		}
+		s.inForce(address)
+	}
+}
+
+// keepWatching starts a watch when this daemon ranks among the watchers.
+func (s *syncer) keepWatching(ctx context.Context) {
+	if s.d.members.rank() >= watcherCount || !s.watching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.watching.Store(false)
+		if err := s.watch(ctx); err != nil && ctx.Err() == nil {
+			s.d.log.Warn("store watch ended", "error", err)
+		}
+	}()
+}
+
+// watch reads what was missed and then follows the log. It ends when this
+// daemon no longer ranks among the watchers.
+func (s *syncer) watch(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.endDemoted(ctx, cancel)
+	call, done := context.WithTimeout(ctx, storeTimeout)
+	entries, at, err := s.d.store.List(call, config.LogPrefix, config.LogKey(s.d.table.Revision()), 0)
+	done()
+	if err != nil {
+		return err
+	}
+	s.touched()
+	for _, e := range entries {
+		if err := s.apply(e.Value); err != nil {
+			return err
+		}
+	}
+	var failed error
+	err = s.d.store.Watch(ctx, config.LogPrefix, at, func(ev store.Event) {
+		s.touched()
+		if ev.Removed || failed != nil {
+			return
+		}
+		if failed = s.apply(ev.Entry.Value); failed != nil {
+			cancel()
+		}
+	})
+	if failed != nil {
+		return failed
+	}
+	return err
+}
+
+func (s *syncer) endDemoted(ctx context.Context, cancel context.CancelFunc) {
+	tick := time.NewTicker(syncTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if s.d.members.rank() >= watcherCount {
+				cancel()
+				return
+			}
+			s.probeStore(ctx)
+		}
+	}
+}
+
+// probeStore notes that the store still answers, so that a lone daemon knows
+// that it is not cut off.
+func (s *syncer) probeStore(ctx context.Context) {
+	call, done := context.WithTimeout(ctx, storeTimeout)
+	defer done()
+	var missing *store.NotFoundError
+	_, err := s.d.store.Get(call, config.LogKey(s.d.table.Revision()))
+	if err == nil || errors.As(err, &missing) {
+		s.touched()
+	}
+}
+
+// apply puts one change of the log in force. A gap means that the log was
+// trimmed behind a snapshot.
+func (s *syncer) apply(value []byte) error {
+	c, err := record.DecodeChange(value)
+	if err != nil {
+		return err
+	}
+	before := s.d.table.Revision()
+	if err := s.d.table.Apply(value); err != nil {
+		return err
+	}
+	if s.d.table.Revision() != before {
+		s.d.log.Info("change applied", "revision", uint64(c.Revision), "who", c.Who, "items", len(c.Items))
+		s.inForce("store")
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,193 @@
+// Package entry is the part of a daemon that callers talk to. It checks the
+// key, finds the route, keeps the team's rate, chooses a target and forwards
+// the request to the guard beside it.
+package entry
+
+import (
+	"context"
+	"time"
+
+	"chestnutlatch/choose"
+	"chestnutlatch/clock"
+	"chestnutlatch/fault"
+	"chestnutlatch/guard"
+	"chestnutlatch/ident"
+	"chestnutlatch/limit"
+	"chestnutlatch/meter"
+	"chestnutlatch/peers"
+	"chestnutlatch/record"
+	"chestnutlatch/table"
+	"chestnutlatch/wire"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/panjf2000/ants/v2"
+	"github.com/valyala/fasthttp"
+)
+
+// Fleet is what an entry asks about the other daemons.
+type Fleet interface {
+	// Locate returns a member's inner address and incarnation, and whether
+	// the member is up.
+	Locate(id ident.Instance) (address string, inc ident.Incarnation, up bool)
+	// Relays returns the inner addresses of up to n live members other than
+	// the given one.
+	Relays(n int, except ident.Instance) []string
+	// SlotHolder returns the member that holds a rate slot.
+	SlotHolder(s limit.Slot) (id ident.Instance, address string, ok bool)
+	// Trust returns a refusal while this daemon cannot know whether a key
+	// was withdrawn.
+	Trust(now clock.Millis) *fault.Refusal
+}
+
+// Drawer grants rate tokens from the slots that this daemon holds.
+type Drawer interface {
+	Draw(req *wire.DrawRequest) *wire.DrawReply
+}
+
+// Deps are what an entry works with.
+type Deps struct {
+	Instance    ident.Instance
+	Incarnation ident.Incarnation
+	Clock       clock.Clock
+	Log         hclog.Logger
+	Meter       *meter.Meter
+	Table       *table.Table
+	Picker      *choose.Picker
+	Purse       *limit.Purse
+	Guard       *guard.Guard
+	Peers       *peers.Pool
+	Fleet       Fleet
+	Drawer      Drawer
+	Pool        *ants.Pool
+}
+
+// Entry serves callers. It is safe for concurrent use.
+type Entry struct {
+	Deps
+	link *link
+}
+
+// New returns an entry.
+func New(d Deps) *Entry {
+	e := &Entry{Deps: d}
+	e.link = newLink(d)
+	return e
+}
+
+// request is one caller's request on its way through the entry.
+type request struct {
+	route  record.Route
+	team   record.Team
+	ticket string
+	// unknown tells that an attempt may have reached a target.
+	unknown bool
+	out     *wire.ForwardRequest
+	// deadline is when the caller's time is over.
+	deadline clock.Millis
+}
+
+// Handle serves one request.
+func (e *Entry) Handle(c *fasthttp.RequestCtx) {
+	began := time.Now()
+	defer func() { e.Meter.Duration.UpdateDuration(began) }()
+	if string(c.Path()) == ticketsPath {
+		e.handleTickets(c)
+		return
+	}
+	r, refusal := e.admit(c)
+	if refusal == nil {
+		refusal = e.serve(c, r)
+	}
+	if refusal != nil {
+		e.refuse(c, refusal)
+		return
+	}
+	e.Meter.Served.Inc()
+}
+
+func (e *Entry) refuse(c *fasthttp.RequestCtx, r *fault.Refusal) {
+	e.Meter.Refused(r)
+	writeRefusal(c, r, "")
+}
+
+// admit checks route and key and prepares the forward request.
+func (e *Entry) admit(c *fasthttp.RequestCtx) (*request, *fault.Refusal) {
+	now := e.Clock.Now()
+	ticket := string(c.Request.Header.Peek(ticketHeader))
+	route, team, refusal := e.authorize(c, string(c.Path()), now)
+	if refusal != nil {
+		return nil, certainOnlyWithout(ticket, refusal)
+	}
+	timeout, refusal := timeoutOf(c, route.Timeout)
+	if refusal != nil {
+		return nil, certainOnlyWithout(ticket, refusal)
+	}
+	r := &request{route: route, team: team, deadline: now + timeout}
+	if route.OneTime {
+		r.ticket = ticket
+	}
+	r.out = e.toForward(c, r)
+	return r, nil
+}
+
+// certainOnlyWithout weakens a refusal of a request that carries a ticket: an
+// earlier copy of the action may have run, and only the ticket's home knows.
+func certainOnlyWithout(ticket string, r *fault.Refusal) *fault.Refusal {
+	if ticket != "" {
+		r.Outcome = ident.OutcomeUnknown
+	}
+	return r
+}
+
+// authorize finds the route of a path and the team of the key.
+func (e *Entry) authorize(c *fasthttp.RequestCtx, path string, now clock.Millis) (record.Route, record.Team, *fault.Refusal) {
+	if e.Table.Revision() == 0 {
+		return record.Route{}, record.Team{}, fault.NotRun(fault.NotReady,
+			"daemon has no configuration yet: repeat, or send the request to another daemon").After(clock.Second)
+	}
+	route, ok := e.Table.Match(hostOf(c), path)
+	if !ok {
+		return route, record.Team{}, fault.NotRun(fault.NoRoute, "no route matches host %q and path %q: check the address", hostOf(c), path)
+	}
+	if route.Open {
+		return route, record.Team{}, nil
+	}
+	if r := e.Fleet.Trust(now); r != nil {
+		return route, record.Team{}, r
+	}
+	key := keyOf(c)
+	team, ok := e.Table.TeamOfKey(key)
+	if key == "" || !ok {
+		return route, team, fault.NotRun(fault.UnknownKey,
+			"key is missing, unknown or withdrawn: send a valid one as 'Authorization: Bearer KEY'")
+	}
+	return route, team, nil
+}
+
+// serve spends the rate and forwards the request.
+func (e *Entry) serve(c *fasthttp.RequestCtx, r *request) *fault.Refusal {
+	ctx, cancel := context.WithTimeout(context.Background(), (r.deadline - e.Clock.Now()).Duration())
+	defer cancel()
+	stop := watchCaller(c, cancel)
+	defer stop()
+	if r.route.OneTime {
+		return e.serveOnce(ctx, c, r)
+	}
+	if refusal := e.spend(ctx, r); refusal != nil {
+		return refusal
+	}
+	reply, refusal := e.forward(ctx, r)
+	if refusal != nil {
+		return refusal
+	}
+	writeAnswer(c, reply.GetAnswer())
+	return nil
+}
+
+// spend takes one token of the team's rate. Open routes have no rate.
+func (e *Entry) spend(ctx context.Context, r *request) *fault.Refusal {
+	if r.route.Open {
+		return nil
+	}
+	return e.takeToken(ctx, r.team)
+}
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"chestnutlatch/clock"
+	"chestnutlatch/fault"
+	"chestnutlatch/guard"
+	"chestnutlatch/wire"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	problemType = "application/problem+json"
+	bearer      = "Bearer "
+	// maxKeyBytes bounds a key that is looked up.
+	maxKeyBytes = 512
+	// retryNoTarget is what a caller waits for a service without targets.
+	retryNoTarget = clock.Second
+)
+
+// dropped are the request headers that never reach a target: credentials,
+// what the daemon sets itself, and what belongs to one connection only.
+var dropped = map[string]bool{
+	"authorization": true, "proxy-authorization": true, "idempotency-key": true,
+	"x-team": true, "x-request-timeout": true,
+	"connection": true, "keep-alive": true, "proxy-connection": true, "te": true, "trailer": true,
+	"transfer-encoding": true, "upgrade": true, "content-length": true, "expect": true,
+}
+
+// droppedBack are the answer headers that belong to the inner connection.
+var droppedBack = map[string]bool{
+	"connection": true, "keep-alive": true, "transfer-encoding": true, "content-length": true,
+	"trailer": true, "upgrade": true,
+}
+
+// hostOf returns the request's host in lower case without its port.
+func hostOf(c *fasthttp.RequestCtx) string {
+	host := c.Host()
+	if i := bytes.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(string(host))
+}
+
+func keyOf(c *fasthttp.RequestCtx) string {
+	v := c.Request.Header.Peek(fasthttp.HeaderAuthorization)
+	if len(v) <= len(bearer) || len(v) > maxKeyBytes || !bytes.EqualFold(v[:len(bearer)], []byte(bearer)) {
+		return ""
+	}
+	return string(v[len(bearer):])
+}
+
+// timeoutOf returns the caller's time limit, at most the route's.
+func timeoutOf(c *fasthttp.RequestCtx, most clock.Millis) (clock.Millis, *fault.Refusal) {
+	v := c.Request.Header.Peek(guard.TimeoutHeader)
+	if len(v) == 0 {
+		return most, nil
+	}
+	n, err := strconv.ParseInt(string(v), 10, 64)
+	if err != nil || n < 1 {
+		return 0, fault.NotRun(fault.Malformed, "%s is %q: give whole milliseconds, at least 1", guard.TimeoutHeader, v)
+	}
+	return min(clock.Millis(n), most), nil
+}
+
+// toForward copies what may reach a target. A header that repeats the key is
+// left out, whatever its name.
+func (e *Entry) toForward(c *fasthttp.RequestCtx, r *request) *wire.ForwardRequest {
+	out := &wire.ForwardRequest{
+		Service:  string(r.route.Service),
+		Team:     string(r.team.ID),
+		Priority: uint32(r.route.Priority),
+		Method:   string(c.Method()),
+		Uri:      string(c.RequestURI()),
+		Body:     append([]byte(nil), c.PostBody()...),
+	}
+	key := []byte(keyOf(c))
+	for k, v := range c.Request.Header.All() {
+		name := string(k)
+		if dropped[strings.ToLower(name)] || len(key) > 0 && bytes.Contains(v, key) {
+			continue
+		}
+		out.Headers = append(out.Headers, &wire.Header{Name: name, Value: string(v)})
+	}
+	return out
+}
+
+// writeAnswer passes a whole answer to the caller.
+func writeAnswer(c *fasthttp.RequestCtx, a *wire.Answer) {
+	c.SetStatusCode(int(a.GetStatus()))
+	for _, h := range a.GetHeaders() {
+		if !droppedBack[strings.ToLower(h.GetName())] {
+			c.Response.Header.Add(h.GetName(), h.GetValue())
+		}
+	}
+	c.Response.SetBodyRaw(a.GetBody())
+}
+
+// writeRefusal answers with a problem document.
+func writeRefusal(c *fasthttp.RequestCtx, r *fault.Refusal, ticket string) {
+	body, err := json.Marshal(struct {
+		Title        string       `json:"title"`
+		Status       int          `json:"status"`
+		Detail       string       `json:"detail"`
+		Kind         string       `json:"kind"`
+		Outcome      string       `json:"outcome"`
+		RetryAfterMS clock.Millis `json:"retry_after_ms,omitempty"`
+		Ticket       string       `json:"ticket,omitempty"`
+	}{strings.ReplaceAll(r.Kind.String(), "_", " "), r.Status(), r.Message, r.Kind.String(), r.Outcome.String(), r.RetryAfter, ticket})
+	if err != nil {
+		c.Error("refusal cannot be written", fasthttp.StatusInternalServerError)
+		return
+	}
+	c.Response.Reset()
+	c.SetStatusCode(r.Status())
+	c.SetContentType(problemType)
+	if r.RetryAfter > 0 {
+		seconds := (r.RetryAfter + clock.Second - 1) / clock.Second
+		c.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
+	}
+	c.SetBody(body)
+}
+
+// OnError answers requests that could not be read.
+func (e *Entry) OnError(c *fasthttp.RequestCtx, err error) {
+	r := fault.NotRun(fault.Malformed, "request cannot be read (%v): send valid HTTP/1.1 in time", err)
+	switch err.(type) { //nolint:errorlint // the server hands the error over unwrapped
+	case *fasthttp.ErrSmallBuffer:
+		r = fault.NotRun(fault.TooLarge, "request headers are too large: send fewer or shorter ones")
+	default:
+		if err == fasthttp.ErrBodyTooLarge { //nolint:errorlint // as above
+			r = fault.NotRun(fault.TooLarge, "request body is over max_request_bytes: send less")
+		}
+	}
+	e.Meter.Refused(r)
+	writeRefusal(c, r, "")
+	c.SetConnectionClose()
+}
--- /dev/null
+++ b/entry/link.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"chestnutlatch/choose"
+	"chestnutlatch/clock"
+	"chestnutlatch/guard"
+	"chestnutlatch/ident"
+	"chestnutlatch/meter"
+	"chestnutlatch/peers"
+	"chestnutlatch/wire"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// checkAfter is how long a call waits before the peer itself is checked.
+	checkAfter = 400 * time.Millisecond
+	// checkTimeout bounds the check.
+	checkTimeout = 400 * time.Millisecond
+	// checkEvery is the time between two checks of a call that goes on.
+	checkEvery = time.Second
+)
+
+var (
+	// errPath reports a peer that does not answer a check.
+	errPath = errors.New("peer does not answer")
+	// errCrossed reports an answer to another request.
+	errCrossed = errors.New("answer belongs to another request")
+)
+
+// link calls guards, local or remote, and judges the paths to them.
+type link struct {
+	instance    ident.Instance
+	incarnation ident.Incarnation
+	clk         clock.Clock
+	guard       *guard.Guard
+	peers       *peers.Pool
+	picker      *choose.Picker
+	meter       *meter.Meter
+	sequence    atomic.Uint64
+}
+
+func newLink(d Deps) *link {
+	return &link{
+		instance: d.Instance, incarnation: d.Incarnation, clk: d.Clock,
+		guard: d.Guard, peers: d.Peers, picker: d.Picker, meter: d.Meter,
+	}
+}
+
+// call sends a request to an instance's guard. An error says nothing about
+// whether the request arrived.
+func (l *link) call(ctx context.Context, to ident.Instance, address string, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	l.stamp(req)
+	if to == l.instance {
+		return l.guard.Forward(ctx, req), nil
+	}
+	reply, err := l.remote(ctx, address, req)
+	if err != nil {
+		if ctx.Err() == nil {
+			l.picker.PathFailed(l.clk.Now(), to)
+		}
+		return nil, err
+	}
+	l.picker.PathWorks(to)
+	return reply, nil
+}
+
+// stamp numbers the request, so that its answer can be told from others.
+func (l *link) stamp(req *wire.ForwardRequest) {
+	req.SenderInstance = string(l.instance)
+	req.SenderIncarnation = uint64(l.incarnation)
+	req.Sequence = l.sequence.Add(1)
+}
+
+// remote makes a call that ends early when the peer itself stops answering.
+func (l *link) remote(ctx context.Context, address string, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	client, err := l.peers.Get(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newWatch(ctx, client, cancel)
+	defer watch.stop()
+	reply, err := client.Forward(ctx, req)
+	if err != nil {
+		return nil, errors.Wrap(err, "forward")
+	}
+	if reply.GetSequence() != req.GetSequence() || reply.GetSenderIncarnation() != req.GetSenderIncarnation() {
+		l.meter.Dropped.Inc()
+		return nil, errCrossed
+	}
+	return reply, nil
+}
+
+// watch checks the peer of a long call from time to time.
+type watch struct {
+	timer   *time.Timer
+	stopped atomic.Bool
+}
+
+func newWatch(ctx context.Context, client wire.InnerClient, cancel context.CancelCauseFunc) *watch {
+	w := &watch{}
+	w.timer = time.AfterFunc(checkAfter, func() {
+		check, done := context.WithTimeout(ctx, checkTimeout)
+		_, err := client.Ping(check, &wire.PingRequest{})
+		done()
+		if w.stopped.Load() || ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			cancel(errPath)
+			return
+		}
+		w.timer.Reset(checkEvery)
+	})
+	return w
+}
+
+func (w *watch) stop() {
+	w.stopped.Store(true)
+	w.timer.Stop()
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,378 @@
+// Package fleet runs a whole deployment on one machine, as separate processes
+// on loopback: the store stand-in, targets, and a daemon beside each of them.
+// It serves the demonstration and the process tests.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"chestnutlatch/ident"
+
+	"github.com/go-faster/errors"
+)
+
+// Spec describes a deployment.
+type Spec struct {
+	// Bin is the folder of the built programs.
+	Bin string
+	// Dir receives settings files and logs.
+	Dir string
+	// Regions, CentresPerRegion and TargetsPerCentre give the size.
+	Regions          int
+	CentresPerRegion int
+	TargetsPerCentre int
+	Services         []ident.Service
+	// Slots and WorkMillis describe each target.
+	Slots      int
+	WorkMillis int
+	RateSlots  int
+}
+
+// Role tells the processes apart.
+type Role string
+
+// Roles of processes.
+const (
+	RoleStore  Role = "store"
+	RoleTarget Role = "target"
+	RoleDaemon Role = "daemon"
+)
+
+// Process is one started process.
+type Process struct {
+	Role       Role             `json:"role"`
+	Name       string           `json:"name"`
+	PID        int              `json:"pid"`
+	Address    string           `json:"address"`
+	DataCentre ident.DataCentre `json:"data_centre"`
+	Region     ident.Region     `json:"region"`
+	// Control is the operator address of a daemon, or the switches of a
+	// stand-in.
+	Control string        `json:"control"`
+	Service ident.Service `json:"service,omitempty"`
+	cmd     *exec.Cmd
+	args    []string
+	log     *os.File
+	// done is closed when the process has ended with exit.
+	done chan struct{}
+	exit error
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	spec  Spec
+	Store *Process
+	// Targets and Daemons stand in pairs.
+	Targets []*Process
+	Daemons []*Process
+}
+
+const (
+	readyTimeout = 20 * time.Second
+	pollEvery    = 50 * time.Millisecond
+	stopTimeout  = 10 * time.Second
+	fleetSecret  = "a-secret-for-loopback-only"
+)
+
+// Start starts the deployment. On an error everything is stopped.
+func Start(spec Spec) (*Fleet, error) {
+	if err := os.MkdirAll(spec.Dir, 0o755); err != nil {
+		return nil, errors.Wrap(err, "create folder")
+	}
+	f := &Fleet{spec: spec}
+	if err := f.startAll(); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) startAll() error {
+	ports, err := freePorts(2)
+	if err != nil {
+		return err
+	}
+	f.Store = &Process{Role: RoleStore, Name: "store", Address: ports[0], Control: ports[1]}
+	f.Store.args = []string{"standin", "store", "--address", ports[0], "--control", ports[1]}
+	if err := f.spawn(f.Store); err != nil {
+		return err
+	}
+	for r := range f.spec.Regions {
+		region := ident.Region(fmt.Sprintf("region-%d", r+1))
+		for c := range f.spec.CentresPerRegion {
+			dc := ident.DataCentre(fmt.Sprintf("%s-dc-%d", region, c+1))
+			for n := range f.spec.TargetsPerCentre {
+				if err := f.startPair(region, dc, n); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// startPair starts a target and the daemon beside it.
+func (f *Fleet) startPair(region ident.Region, dc ident.DataCentre, n int) error {
+	ports, err := freePorts(6)
+	if err != nil {
+		return err
+	}
+	i := len(f.Targets)
+	service := f.spec.Services[n%len(f.spec.Services)]
+	name := fmt.Sprintf("%s-%d", dc, n+1)
+	t := &Process{
+		Role: RoleTarget, Name: "target-" + name, Address: ports[0], Control: ports[1],
+		DataCentre: dc, Region: region, Service: service,
+	}
+	t.args = []string{
+		"standin", "target", "--id", "t-" + name, "--service", string(service), "--address", ports[0],
+		"--control", ports[1], "--announce", ports[5], "--slots", fmt.Sprint(f.spec.Slots),
+		"--work", fmt.Sprintf("%dms", f.spec.WorkMillis), "--seed", fmt.Sprint(i + 1),
+	}
+	d := &Process{Role: RoleDaemon, Name: "daemon-" + name, Address: ports[2], Control: ports[5], DataCentre: dc, Region: region}
+	file, err := f.writeSettings(d, name, ports)
+	if err != nil {
+		return err
+	}
+	d.args = []string{"chestnutlatch", "serve", "--config", file}
+	f.Targets = append(f.Targets, t)
+	f.Daemons = append(f.Daemons, d)
+	if err := f.spawn(t); err != nil {
+		return err
+	}
+	return f.spawn(d)
+}
+
+func (f *Fleet) writeSettings(d *Process, name string, ports []string) (string, error) {
+	file := filepath.Join(f.spec.Dir, d.Name+".ini")
+	text := fmt.Sprintf(`[daemon]
+instance = i-%s
+data_centre = %s
+region = %s
+caller_address = %s
+inner_address = %s
+member_address = %s
+operator_address = %s
+fleet_secret = %s
+log_level = info
+
+[store]
+address = %s
+
+[rate]
+slots = %d
+`, name, d.DataCentre, d.Region, ports[2], ports[3], ports[4], ports[5], fleetSecret, f.Store.Address, f.spec.RateSlots)
+	return file, os.WriteFile(file, []byte(text), 0o600)
+}
+
+// spawn starts a process and logs its output to a file of its own.
+func (f *Fleet) spawn(p *Process) error {
+	log, err := os.OpenFile(filepath.Join(f.spec.Dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	cmd := exec.Command(filepath.Join(f.spec.Bin, p.args[0]), p.args[1:]...)
+	cmd.Stdout = log
+	cmd.Stderr = log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", p.Name)
+	}
+	p.cmd, p.PID, p.log = cmd, cmd.Process.Pid, log
+	p.done = make(chan struct{})
+	go func(done chan struct{}) {
+		p.exit = cmd.Wait()
+		close(done)
+	}(p.done)
+	return nil
+}
+
+// Restart starts a process that has ended again, with the same settings.
+func (f *Fleet) Restart(p *Process) error {
+	return f.spawn(p)
+}
+
+// Signal sends a signal to a process of this fleet.
+func (p *Process) Signal(s syscall.Signal) error {
+	return p.cmd.Process.Signal(s)
+}
+
+// Kill ends a process at once and waits for its end.
+func (p *Process) Kill() error {
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	return p.wait()
+}
+
+// wait waits for the end.
+func (p *Process) wait() error {
+	select {
+	case <-p.done:
+		return nil
+	case <-time.After(stopTimeout):
+		return errors.Errorf("%s did not end in %s", p.Name, stopTimeout)
+	}
+}
+
+// Terminate asks a process to stop as planned and waits for its end.
+func (p *Process) Terminate() error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	if err := p.wait(); err != nil {
+		return err
+	}
+	return p.exit
+}
+
+// Stop ends everything that this fleet started.
+func (f *Fleet) Stop() {
+	all := append(append([]*Process{}, f.Daemons...), f.Targets...)
+	if f.Store != nil {
+		all = append(all, f.Store)
+	}
+	for _, p := range all {
+		if p.cmd != nil {
+			_ = p.Signal(syscall.SIGCONT)
+			_ = p.Signal(syscall.SIGKILL)
+			_ = p.log.Close()
+		}
+	}
+}
+
+// WaitReady waits until every daemon is ready and knows every member.
+func (f *Fleet) WaitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, d := range f.Daemons {
+		for !f.isReady(d) {
+			if time.Now().After(deadline) {
+				return errors.Errorf("%s is not ready: look at its log in %s", d.Name, f.spec.Dir)
+			}
+			time.Sleep(pollEvery)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) isReady(d *Process) bool {
+	if _, err := GetJSON(d.Control, "/readyz", nil); err != nil {
+		return false
+	}
+	var s struct {
+		Members []struct {
+			Targets []struct{} `json:"targets"`
+		} `json:"members"`
+	}
+	if _, err := GetJSON(d.Control, "/v1/status", &s); err != nil {
+		return false
+	}
+	targets := 0
+	for _, m := range s.Members {
+		targets += len(m.Targets)
+	}
+	return targets >= len(f.Targets)
+}
+
+// WaitSlots waits until all rate slots have a holder.
+func (f *Fleet) WaitSlots() error {
+	deadline := time.Now().Add(readyTimeout)
+	for {
+		held := 0
+		for _, d := range f.Daemons {
+			var s struct {
+				Held int `json:"rate_slots_held"`
+			}
+			_, _ = GetJSON(d.Control, "/v1/status", &s)
+			held += s.Held
+		}
+		if held >= f.spec.RateSlots {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Errorf("only %d of %d rate slots are held", held, f.spec.RateSlots)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// Operator runs an operator's command against the fleet's store.
+func (f *Fleet) Operator(args ...string) (string, error) {
+	cmd := exec.Command(filepath.Join(f.spec.Bin, "chestnutlatch"), append(args, "--store", f.Store.Address)...)
+	var errOut strings.Builder
+	cmd.Stderr = &errOut
+	out, err := cmd.Output()
+	if err != nil {
+		return string(out), errors.Wrap(err, errOut.String())
+	}
+	return string(out), nil
+}
+
+// Entries returns the callers' addresses of the daemons.
+func (f *Fleet) Entries() []string {
+	var out []string
+	for _, d := range f.Daemons {
+		out = append(out, d.Address)
+	}
+	return out
+}
+
+// httpClient is for control calls on loopback.
+var httpClient = &http.Client{Timeout: 2 * time.Second}
+
+// GetJSON reads a JSON answer into v, unless v is nil.
+func GetJSON(address, path string, v any) (int, error) {
+	resp, err := httpClient.Get("http://" + address + path)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, errors.Errorf("%s%s answered %d", address, path, resp.StatusCode)
+	}
+	if v == nil {
+		return resp.StatusCode, nil
+	}
+	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(v)
+}
+
+// PutJSON sends v as JSON.
+func PutJSON(address, path string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+address+path, strings.NewReader(string(body)))
+	if err != nil {
+		return err
+	}
+	resp, err := httpClient.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// freePorts returns loopback addresses that were free a moment ago. Each is
+// held until all are found, so that they differ.
+func freePorts(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find free port")
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
--- /dev/null
+++ b/guard/serve.go
@@ -0,0 +1,148 @@
+package guard
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"chestnutlatch/clock"
+	"chestnutlatch/fault"
+	"chestnutlatch/health"
+	"chestnutlatch/ident"
+	"chestnutlatch/queue"
+	"chestnutlatch/wire"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// TeamHeader carries the team's name to the target.
+	TeamHeader = "X-Team"
+	// TimeoutHeader carries the time left, in milliseconds.
+	TimeoutHeader = "X-Request-Timeout"
+)
+
+// serve waits for a slot and exchanges the request with the target.
+func (g *Guard) serve(ctx context.Context, t *target, req *wire.ForwardRequest) (*wire.Answer, *fault.Refusal) {
+	now := g.clk.Now()
+	timeout := clock.Millis(req.GetTimeoutMs())
+	job := queue.Job{
+		Team:     ident.Team(req.GetTeam()),
+		Priority: min(ident.Priority(req.GetPriority()), ident.PriorityHigh),
+		Weight:   1,
+		Deadline: now + timeout,
+	}
+	if r := t.acquire(ctx, now, job); r != nil {
+		return nil, r
+	}
+	defer func() { t.release(g.clk.Now()) }()
+	left := now + timeout - g.clk.Now()
+	if left <= 0 {
+		return nil, refusalOf(fault.DeadlineExceeded, t.spec.ID)
+	}
+	return g.exchange(ctx, t, req, left)
+}
+
+// exchange runs the request at the target. A silent connection is replaced
+// and, for an idempotent request, the request is sent again on a fresh one.
+func (g *Guard) exchange(ctx context.Context, t *target, req *wire.ForwardRequest, left clock.Millis) (*wire.Answer, *fault.Refusal) {
+	ctx, cancel := context.WithTimeout(ctx, left.Duration())
+	defer cancel()
+	out := fasthttp.AcquireRequest()
+	in := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(out)
+	defer fasthttp.ReleaseResponse(in)
+	fill(out, req, t, left)
+	began := time.Now()
+	err := g.attempt(ctx, t, out, in, !req.GetOneTime())
+	latency := ident.Micros(time.Since(began).Microseconds())
+	t.observe(health.Sample{At: g.clk.Now(), Result: resultOf(err, in.StatusCode()), Latency: latency})
+	if err != nil {
+		return nil, explain(err, t.spec.ID)
+	}
+	return toAnswer(in), nil
+}
+
+// attempt makes one exchange. For an idempotent request, a reused connection
+// is given up early enough that time is left for a fresh one. The second
+// exchange is bounded for each target, so that a slow target does not get its
+// load twice.
+func (g *Guard) attempt(ctx context.Context, t *target, out *fasthttp.Request, in *fasthttp.Response, idempotent bool) error {
+	var firstByte time.Duration
+	if idempotent {
+		firstByte = firstByteWait(ctx)
+	}
+	err := t.conns.exchange(ctx, out, in, g.cfg.MaxAnswerBytes, firstByte)
+	if !idempotent || !errors.Is(err, errSilent) || ctx.Err() != nil || !t.mayRefresh(g.clk.Now()) {
+		return err
+	}
+	in.Reset()
+	return t.conns.exchange(ctx, out, in, g.cfg.MaxAnswerBytes, 0)
+}
+
+// firstByteWait is the part of the time left that a reused connection gets.
+func firstByteWait(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return dialTimeout
+	}
+	return time.Until(deadline) / 2
+}
+
+// fill writes the target's request. The caller's key never gets here: the
+// entry sends only the headers that may pass.
+func fill(out *fasthttp.Request, req *wire.ForwardRequest, t *target, left clock.Millis) {
+	out.Header.SetMethod(req.GetMethod())
+	out.SetRequestURI(req.GetUri())
+	for _, h := range req.GetHeaders() {
+		out.Header.Add(h.GetName(), h.GetValue())
+	}
+	if len(out.Header.Host()) == 0 {
+		out.Header.SetHost(t.spec.Address)
+	}
+	out.Header.Set(TeamHeader, req.GetTeam())
+	out.Header.Set(TimeoutHeader, strconv.FormatInt(int64(left), 10))
+	out.SetBodyRaw(req.GetBody())
+}
+
+func toAnswer(in *fasthttp.Response) *wire.Answer {
+	a := &wire.Answer{Status: uint32(in.StatusCode()), Body: append([]byte(nil), in.Body()...)}
+	for k, v := range in.Header.All() {
+		a.Headers = append(a.Headers, &wire.Header{Name: string(k), Value: string(v)})
+	}
+	return a
+}
+
+func resultOf(err error, status int) health.Result {
+	switch {
+	case errors.Is(err, errCanceled):
+		return health.ResultCanceled
+	case errors.Is(err, errSilent):
+		// The connection's fault, not the target's.
+		return health.ResultCanceled
+	case errors.Is(err, errTimeout):
+		return health.ResultTimeout
+	case errors.Is(err, errHalf):
+		return health.ResultHalf
+	case err != nil || status >= fasthttp.StatusInternalServerError:
+		return health.ResultError
+	default:
+		return health.ResultOK
+	}
+}
+
+func explain(err error, id ident.Target) *fault.Refusal {
+	switch {
+	case errors.Is(err, errDial):
+		return fault.NotRun(fault.TargetFailed, "target %s refused the connection: repeat the request", id)
+	case errors.Is(err, errTooLarge):
+		return fault.Unknown(fault.AnswerTooLarge, "answer of target %s is over max_answer_bytes: raise the setting or ask for less", id)
+	case errors.Is(err, errHalf):
+		return fault.Unknown(fault.HalfAnswer, "answer of target %s broke off or has no length: repeat a lookup, look an action up", id)
+	case errors.Is(err, errCanceled):
+		return fault.Unknown(fault.Canceled, "request ended while target %s worked on it", id)
+	default:
+		return fault.Unknown(fault.DeadlineExceeded, "target %s did not answer in time: allow more time or look the action up", id)
+	}
+}
--- /dev/null
+++ b/guard/target.go
@@ -0,0 +1,210 @@
+package guard
+
+import (
+	"context"
+	"sync"
+
+	"chestnutlatch/clock"
+	"chestnutlatch/fault"
+	"chestnutlatch/health"
+	"chestnutlatch/ident"
+	"chestnutlatch/member"
+	"chestnutlatch/queue"
+	"chestnutlatch/wire"
+)
+
+// Spec describes one local target.
+type Spec struct {
+	ID      ident.Target
+	Service ident.Service
+	// Address is the target's loopback address as ip:port.
+	Address string
+	// Slots is the number of requests the target serves at once.
+	Slots int
+}
+
+// target is one local target with its queue, health and connections.
+type target struct {
+	spec  Spec
+	conns *connPool
+
+	mu       sync.Mutex
+	queue    *queue.Queue
+	keeper   *health.Keeper
+	detector *health.Combined
+	// waiters holds a channel for each job that has not started.
+	waiters map[queue.JobID]chan *fault.Refusal
+	lastJob queue.JobID
+	// draining tells that the target or this daemon takes no new work.
+	draining bool
+	// heard is when the target last announced itself; 0 for a target from
+	// the settings.
+	heard clock.Millis
+	// refreshed is when a request was last sent again on a fresh connection.
+	refreshed clock.Millis
+}
+
+// refreshEvery is the least time between two requests that are sent again on
+// a fresh connection, in milliseconds.
+const refreshEvery = 200 * clock.Millisecond
+
+func newTarget(s Spec, queueLimit int, clk clock.Clock) *target {
+	d := health.NewCombined()
+	return &target{
+		spec:     s,
+		conns:    newConnPool(s.Address, clk),
+		queue:    queue.New(s.Slots, queueLimit),
+		detector: d,
+		keeper:   health.NewKeeper(d, clk.Now()),
+		waiters:  map[queue.JobID]chan *fault.Refusal{},
+	}
+}
+
+// acquire waits for a slot. A nil refusal means that the caller holds one and
+// must call release.
+func (t *target) acquire(ctx context.Context, now clock.Millis, j queue.Job) *fault.Refusal {
+	t.mu.Lock()
+	if t.draining {
+		t.mu.Unlock()
+		return fault.NotRun(fault.Draining, "target %s takes no new work: repeat the request", t.spec.ID)
+	}
+	t.lastJob++
+	j.ID = t.lastJob
+	ready := make(chan *fault.Refusal, 1)
+	t.waiters[j.ID] = ready
+	t.settle(t.queue.Offer(now, j))
+	t.mu.Unlock()
+	select {
+	case r := <-ready:
+		return r
+	case <-ctx.Done():
+	}
+	return t.abandon(j.ID, ready)
+}
+
+// abandon takes a job out of the queue, or gives its slot back.
+func (t *target) abandon(id queue.JobID, ready chan *fault.Refusal) *fault.Refusal {
+	t.mu.Lock()
+	if t.queue.Cancel(id) {
+		delete(t.waiters, id)
+		t.mu.Unlock()
+		return fault.NotRun(fault.Canceled, "request ended while it waited for target %s", t.spec.ID)
+	}
+	t.mu.Unlock()
+	// The queue has decided; the channel holds its word.
+	return <-ready
+}
+
+// release gives a slot back.
+func (t *target) release(now clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settle(t.queue.Done(now))
+}
+
+// expire refuses the jobs whose deadline has come.
+func (t *target) expire(now clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settle(t.queue.Expire(now))
+}
+
+// settle carries out the queue's effects. The caller holds mu.
+func (t *target) settle(effects []queue.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case queue.Start:
+			t.tell(e.ID, nil)
+		case queue.Refuse:
+			t.tell(e.ID, refusalOf(e.Kind, t.spec.ID))
+		}
+	}
+}
+
+func (t *target) tell(id queue.JobID, r *fault.Refusal) {
+	ready := t.waiters[id]
+	delete(t.waiters, id)
+	ready <- r
+}
+
+func refusalOf(k fault.Kind, id ident.Target) *fault.Refusal {
+	if k == fault.DeadlineExceeded {
+		return fault.NotRun(k, "deadline came while the request waited for target %s: allow more time", id)
+	}
+	return fault.NotRun(k, "target %s is busy and its queue is full: repeat after the given time", id).After(clock.Second)
+}
+
+// observe takes in the end of one request.
+func (t *target) observe(s health.Sample) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.keeper.Observe(s)
+}
+
+// judge moves the health state on and reports whether it changed.
+func (t *target) judge(now clock.Millis, peers health.Peers) (changed bool, reason string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.keeper.Judge(now, peers), t.keeper.Reason()
+}
+
+// state returns what peers are told of the target. The caller holds mu.
+func (t *target) state() ident.TargetState {
+	if t.draining {
+		return ident.TargetDraining
+	}
+	return t.keeper.State()
+}
+
+func (t *target) info() member.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return member.Target{ID: t.spec.ID, Service: t.spec.Service, State: t.state(), Slots: t.queue.Slots()}
+}
+
+func (t *target) vital(now clock.Millis) member.Vital {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.detector.Stats(now)
+	return member.Vital{
+		Service: t.spec.Service, Target: t.spec.ID, Latency: s.Latency,
+		SuccessPermill: s.SuccessPermill(), Samples: uint32(s.Count),
+	}
+}
+
+func (t *target) report(now clock.Millis) *wire.LoadReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &wire.LoadReport{
+		Target:    string(t.spec.ID),
+		State:     uint32(t.state()),
+		InFlight:  uint32(t.queue.Running()),
+		Queued:    uint32(t.queue.Waiting()),
+		Slots:     uint32(t.queue.Slots()),
+		LatencyUs: uint64(t.detector.Stats(now).Latency),
+	}
+}
+
+// mayRefresh allows one request to be sent again on a fresh connection.
+func (t *target) mayRefresh(now clock.Millis) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.refreshed > 0 && now-t.refreshed < refreshEvery {
+		return false
+	}
+	t.refreshed = max(now, 1)
+	return true
+}
+
+func (t *target) setDraining(v bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.draining = v
+}
+
+// isIdle reports whether nothing runs or waits.
+func (t *target) isIdle() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.queue.Running() == 0 && t.queue.Waiting() == 0
+}
--- /dev/null
+++ b/limit/bucket.go
@@ -0,0 +1,134 @@
+package limit
+
+import (
+	"sync"
+
+	"chestnutlatch/clock"
+	"chestnutlatch/ident"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// bucketShards is the number of shards of an Allocator.
+const bucketShards = 16
+
+// idleAfter is how long an unused bucket is remembered, in milliseconds. A
+// forgotten bucket starts empty.
+const idleAfter = 10 * clock.Minute
+
+// Grant is an allocator's answer to a draw.
+type Grant struct {
+	Tokens uint32
+	// TTL counts from before the draw was sent, on the drawer's clock.
+	TTL clock.Millis
+	// RetryAfter is when the next token is due, if none was granted.
+	RetryAfter clock.Millis
+}
+
+type bucketKey struct {
+	slot Slot
+	team ident.Team
+}
+
+type bucket struct {
+	// level is at most the capacity.
+	level Milli
+	// at is the time of the last refill.
+	at clock.Millis
+	// rest holds thousandths of a Milli not yet added.
+	rest int64
+}
+
+type bucketShard struct {
+	mu      sync.Mutex
+	buckets map[bucketKey]*bucket
+}
+
+// Allocator holds the buckets of the slots that this daemon holds. It is safe
+// for concurrent use.
+type Allocator struct {
+	shards [bucketShards]bucketShard
+}
+
+// NewAllocator returns an allocator without buckets.
+func NewAllocator() *Allocator {
+	a := &Allocator{}
+	for i := range a.shards {
+		a.shards[i].buckets = map[bucketKey]*bucket{}
+	}
+	return a
+}
+
+// Grant takes up to want tokens from a team's bucket in a slot held since
+// `since`. A bucket not seen before starts empty at that time, since the
+// slot's holder before may have emptied it.
+func (al *Allocator) Grant(now, since clock.Millis, slot Slot, team ident.Team, a Allowance, want uint32) Grant {
+	s := &al.shards[xxhash.Sum64String(string(team))%bucketShards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := bucketKey{slot, team}
+	b := s.buckets[key]
+	if b == nil || b.at < since {
+		b = &bucket{at: since}
+		s.buckets[key] = b
+	}
+	b.refill(now, a)
+	tokens := min(Milli(want), b.level/Token)
+	if tokens <= 0 {
+		return Grant{RetryAfter: b.due(a)}
+	}
+	b.level -= tokens * Token
+	return Grant{Tokens: uint32(tokens), TTL: a.TTL()}
+}
+
+func (b *bucket) refill(now clock.Millis, a Allowance) {
+	if now <= b.at {
+		return
+	}
+	// An hour fills every bucket; the bound keeps the product small.
+	span := min(now-b.at, clock.Hour)
+	gained := int64(a.partRate())*int64(span) + b.rest
+	b.at = now
+	b.rest = gained % int64(clock.Second)
+	b.level = min(b.level+Milli(gained/int64(clock.Second)), a.partCapacity())
+}
+
+// due returns the milliseconds until the next whole token.
+func (b *bucket) due(a Allowance) clock.Millis {
+	return clock.Millis(int64(Token-b.level)*int64(clock.Second)/max(int64(a.partRate()), 1)) + 1
+}
+
+// Forget drops a slot's buckets, for a slot that this daemon gave up.
+func (al *Allocator) Forget(slot Slot) {
+	al.dropIf(func(k bucketKey, _ *bucket) bool { return k.slot == slot })
+}
+
+// Sweep drops buckets that were not used for a long time.
+func (al *Allocator) Sweep(now clock.Millis) {
+	al.dropIf(func(_ bucketKey, b *bucket) bool { return now-b.at > idleAfter })
+}
+
+func (al *Allocator) dropIf(match func(bucketKey, *bucket) bool) {
+	for i := range al.shards {
+		s := &al.shards[i]
+		s.mu.Lock()
+		for k, b := range s.buckets {
+			if match(k, b) {
+				delete(s.buckets, k)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Buckets returns the number of buckets.
+func (al *Allocator) Buckets() int {
+	n := 0
+	for i := range al.shards {
+		s := &al.shards[i]
+		s.mu.Lock()
+		n += len(s.buckets)
+		s.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/member/codec.go
@@ -0,0 +1,127 @@
+package member
+
+import (
+	"chestnutlatch/ident"
+	"chestnutlatch/limit"
+	"chestnutlatch/wire"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// Encode writes a message for a datagram.
+func Encode(m Message) ([]byte, error) {
+	d := &wire.Datagram{
+		Kind:              uint32(m.Kind),
+		Sequence:          m.Sequence,
+		Sender:            string(m.Sender),
+		SenderIncarnation: uint64(m.Incarnation),
+		Subject:           string(m.Subject),
+		Revision:          uint64(m.Revision),
+		Buckets:           m.Buckets,
+	}
+	for _, r := range m.Members {
+		d.Members = append(d.Members, toWire(r))
+	}
+	for _, t := range m.Vitals {
+		d.Vitals = append(d.Vitals, &wire.Vital{
+			Service: string(t.Service), Target: string(t.Target), LatencyUs: uint64(t.Latency),
+			SuccessPermille: t.SuccessPermill, Samples: t.Samples,
+		})
+	}
+	b, err := proto.Marshal(d)
+	if err != nil {
+		return b, errors.Wrap(err, "encode datagram")
+	}
+	return b, nil
+}
+
+// Decode reads a message from a datagram.
+func Decode(b []byte) (Message, error) {
+	var d wire.Datagram
+	if err := proto.Unmarshal(b, &d); err != nil {
+		return Message{}, errors.Wrap(err, "decode datagram")
+	}
+	m := Message{
+		Kind:        MessageKind(d.GetKind()),
+		Sequence:    d.GetSequence(),
+		Sender:      ident.Instance(d.GetSender()),
+		Incarnation: ident.Incarnation(d.GetSenderIncarnation()),
+		Subject:     ident.Instance(d.GetSubject()),
+		Revision:    ident.Revision(d.GetRevision()),
+		Buckets:     d.GetBuckets(),
+	}
+	for _, r := range d.GetMembers() {
+		m.Members = append(m.Members, fromWire(r))
+	}
+	for _, t := range d.GetVitals() {
+		m.Vitals = append(m.Vitals, Vital{
+			Service: ident.Service(t.GetService()), Target: ident.Target(t.GetTarget()),
+			Latency: ident.Micros(t.GetLatencyUs()), SuccessPermill: t.GetSuccessPermille(), Samples: t.GetSamples(),
+		})
+	}
+	return m, nil
+}
+
+func toWire(m *Member) *wire.Member {
+	w := &wire.Member{
+		Instance:      string(m.Instance),
+		Incarnation:   uint64(m.Incarnation),
+		Version:       m.Version,
+		Status:        uint32(m.Status),
+		DataCentre:    string(m.DataCentre),
+		Region:        string(m.Region),
+		InnerAddress:  m.InnerAddress,
+		MemberAddress: m.MemberAddress,
+	}
+	for _, t := range m.Targets {
+		w.Targets = append(w.Targets, &wire.TargetInfo{
+			Target: string(t.ID), Service: string(t.Service), State: uint32(t.State), Slots: uint32(t.Slots),
+		})
+	}
+	for _, s := range m.Slots {
+		w.SlotClaims = append(w.SlotClaims, &wire.SlotClaim{Slot: uint32(s.Slot), Term: s.Term})
+	}
+	return w
+}
+
+func fromWire(w *wire.Member) *Member {
+	m := &Member{
+		Instance:      ident.Instance(w.GetInstance()),
+		Incarnation:   ident.Incarnation(w.GetIncarnation()),
+		Version:       w.GetVersion(),
+		Status:        Status(w.GetStatus()),
+		DataCentre:    ident.DataCentre(w.GetDataCentre()),
+		Region:        ident.Region(w.GetRegion()),
+		InnerAddress:  w.GetInnerAddress(),
+		MemberAddress: w.GetMemberAddress(),
+	}
+	for _, t := range w.GetTargets() {
+		m.Targets = append(m.Targets, Target{
+			ID: ident.Target(t.GetTarget()), Service: ident.Service(t.GetService()),
+			State: ident.TargetState(t.GetState()), Slots: int(t.GetSlots()),
+		})
+	}
+	for _, s := range w.GetSlotClaims() {
+		m.Slots = append(m.Slots, SlotClaim{Slot: limit.Slot(s.GetSlot()), Term: s.GetTerm()})
+	}
+	return m
+}
+
+// EncodeMember writes one record, for the store's first contact.
+func EncodeMember(m *Member) ([]byte, error) {
+	b, err := proto.Marshal(toWire(m))
+	if err != nil {
+		return b, errors.Wrap(err, "encode member")
+	}
+	return b, nil
+}
+
+// DecodeMember reads one record.
+func DecodeMember(b []byte) (*Member, error) {
+	var w wire.Member
+	if err := proto.Unmarshal(b, &w); err != nil {
+		return nil, errors.Wrap(err, "decode member")
+	}
+	return fromWire(&w), nil
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,76 @@
+// Package meter holds a daemon's counters, written by VictoriaMetrics/metrics.
+package meter
+
+import (
+	"fmt"
+	"io"
+
+	"chestnutlatch/fault"
+	"chestnutlatch/ident"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Meter counts what a daemon does. It is safe for concurrent use.
+type Meter struct {
+	set *metrics.Set
+	// Served counts the answers passed to callers.
+	Served *metrics.Counter
+	// Retries counts the further attempts at idempotent requests.
+	Retries *metrics.Counter
+	// Relayed counts the requests sent through another daemon.
+	Relayed *metrics.Counter
+	// Replayed counts the one-time actions answered from memory.
+	Replayed *metrics.Counter
+	// Dropped counts the inner answers that matched no open request.
+	Dropped *metrics.Counter
+	// Draws counts the draws of rate tokens, DrawsFailed those without answer.
+	Draws       *metrics.Counter
+	DrawsFailed *metrics.Counter
+	// DatagramsIn, DatagramsOut and BytesOut count the membership's traffic.
+	DatagramsIn  *metrics.Counter
+	DatagramsOut *metrics.Counter
+	BytesOut     *metrics.Counter
+	// Duration is the time of a request at the entry, in seconds.
+	Duration *metrics.Histogram
+}
+
+// New returns a meter with all counters at zero.
+func New() *Meter {
+	s := metrics.NewSet()
+	return &Meter{
+		set:          s,
+		Served:       s.NewCounter("chestnutlatch_served_total"),
+		Retries:      s.NewCounter("chestnutlatch_retries_total"),
+		Relayed:      s.NewCounter("chestnutlatch_relayed_total"),
+		Replayed:     s.NewCounter("chestnutlatch_replayed_total"),
+		Dropped:      s.NewCounter("chestnutlatch_dropped_answers_total"),
+		Draws:        s.NewCounter("chestnutlatch_rate_draws_total"),
+		DrawsFailed:  s.NewCounter("chestnutlatch_rate_draws_failed_total"),
+		DatagramsIn:  s.NewCounter("chestnutlatch_member_datagrams_in_total"),
+		DatagramsOut: s.NewCounter("chestnutlatch_member_datagrams_out_total"),
+		BytesOut:     s.NewCounter("chestnutlatch_member_bytes_out_total"),
+		Duration:     s.NewHistogram("chestnutlatch_request_duration_seconds"),
+	}
+}
+
+// Refused counts a refusal by kind and outcome.
+func (m *Meter) Refused(r *fault.Refusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chestnutlatch_refused_total{kind=%q,outcome=%q}`, r.Kind, r.Outcome)).Inc()
+}
+
+// TargetMoved counts a target's change of state.
+func (m *Meter) TargetMoved(to ident.TargetState) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chestnutlatch_target_moves_total{to=%q}`, to)).Inc()
+}
+
+// Gauge registers a value that is read when the metrics are written.
+func (m *Meter) Gauge(name string, read func() float64) {
+	m.set.NewGauge(name, read)
+}
+
+// Write writes all metrics in the customary text form.
+func (m *Meter) Write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/store/client.go
@@ -0,0 +1,130 @@
+package store
+
+import (
+	"context"
+	"io"
+
+	"chestnutlatch/kvapi"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// maxMessageBytes bounds one message; a page of a list holds many values.
+const maxMessageBytes = 32 << 20
+
+// Client is a Store over the platform's protocol.
+type Client struct {
+	conn *grpc.ClientConn
+	kv   kvapi.KVClient
+}
+
+var _ Store = (*Client)(nil)
+
+// Dial returns a Client for the address. It does not wait for the store.
+func Dial(address string) (*Client, error) {
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+	)
+	if err != nil {
+		return nil, errors.Wrapf(err, "store address %q: give it as ip:port", address)
+	}
+	return &Client{conn: conn, kv: kvapi.NewKVClient(conn)}, nil
+}
+
+// Close ends the connection.
+func (c *Client) Close() error {
+	return c.conn.Close()
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	r, err := c.kv.Get(ctx, &kvapi.GetRequest{Key: key})
+	if err != nil {
+		return Entry{}, &UnavailableError{Op: "get", Err: err}
+	}
+	if r.GetPair() == nil {
+		return Entry{}, &NotFoundError{Key: key}
+	}
+	return toEntry(r.GetPair()), nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]Entry, Revision, error) {
+	r, err := c.kv.List(ctx, &kvapi.ListRequest{Prefix: prefix, After: after, Limit: uint32(limit)})
+	if err != nil {
+		return nil, 0, &UnavailableError{Op: "list", Err: err}
+	}
+	entries := make([]Entry, 0, len(r.GetPairs()))
+	for _, p := range r.GetPairs() {
+		entries = append(entries, toEntry(p))
+	}
+	return entries, Revision(r.GetRevision()), nil
+}
+
+// Swap implements Store.
+func (c *Client) Swap(ctx context.Context, key string, want Revision, value []byte, lease LeaseID) (Revision, error) {
+	return c.swap(ctx, &kvapi.SwapRequest{Key: key, Want: uint64(want), Value: value, Lease: uint64(lease)})
+}
+
+// Remove implements Store.
+func (c *Client) Remove(ctx context.Context, key string, want Revision) error {
+	_, err := c.swap(ctx, &kvapi.SwapRequest{Key: key, Want: uint64(want), Remove: true})
+	return err
+}
+
+func (c *Client) swap(ctx context.Context, req *kvapi.SwapRequest) (Revision, error) {
+	r, err := c.kv.Swap(ctx, req)
+	if err != nil {
+		return 0, &UnavailableError{Op: "swap", Err: err}
+	}
+	if !r.GetDone() {
+		return 0, &ConflictError{Key: req.GetKey(), Want: Revision(req.GetWant()), Current: toEntry(r.GetCurrent())}
+	}
+	return Revision(r.GetRevision()), nil
+}
+
+// Grant implements Store.
+func (c *Client) Grant(ctx context.Context, ttlMillis uint32) (LeaseID, error) {
+	r, err := c.kv.Grant(ctx, &kvapi.GrantRequest{TtlMs: ttlMillis})
+	if err != nil {
+		return 0, &UnavailableError{Op: "grant", Err: err}
+	}
+	return LeaseID(r.GetLease()), nil
+}
+
+// Renew implements Store.
+func (c *Client) Renew(ctx context.Context, lease LeaseID) error {
+	r, err := c.kv.Renew(ctx, &kvapi.RenewRequest{Lease: uint64(lease)})
+	if err != nil {
+		return &UnavailableError{Op: "renew", Err: err}
+	}
+	if !r.GetAlive() {
+		return &LeaseLostError{Lease: lease}
+	}
+	return nil
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after Revision, fn func(Event)) error {
+	stream, err := c.kv.Watch(ctx, &kvapi.WatchRequest{Prefix: prefix, After: uint64(after)})
+	if err != nil {
+		return &UnavailableError{Op: "watch", Err: err}
+	}
+	for {
+		ev, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return &UnavailableError{Op: "watch", Err: err}
+		}
+		fn(Event{Entry: toEntry(ev.GetPair()), Removed: ev.GetRemoved()})
+	}
+}
+
+func toEntry(p *kvapi.Pair) Entry {
+	return Entry{Key: p.GetKey(), Value: p.GetValue(), Revision: Revision(p.GetRevision())}
+}
--- /dev/null
+++ b/table/snap.go
@@ -0,0 +1,130 @@
+package table
+
+import (
+	"encoding/binary"
+
+	"chestnutlatch/config"
+	"chestnutlatch/ident"
+	"chestnutlatch/record"
+)
+
+// snapChunkBytes is the size at which a snapshot chunk is handed over.
+const snapChunkBytes = 256 << 10
+
+// Snapshot calls fn with chunks of the whole configuration at one revision.
+// fn must not keep the chunk.
+func (t *Table) Snapshot(fn func(rev ident.Revision, chunk []byte) error) error {
+	t.applyMu.Lock()
+	defer t.applyMu.Unlock()
+	rev := t.Revision()
+	var buf []byte
+	var err error
+	for k := range t.shards {
+		for i := range t.shards[k] {
+			t.shards[k][i].items.each(func(it []byte) {
+				buf = appendSnapItem(buf, record.Kind(k), it)
+			})
+			if len(buf) >= snapChunkBytes && err == nil {
+				err = fn(rev, buf)
+				buf = buf[:0]
+			}
+		}
+	}
+	if err != nil {
+		return err
+	}
+	return fn(rev, buf)
+}
+
+func appendSnapItem(b []byte, k record.Kind, item []byte) []byte {
+	b = append(b, byte(k))
+	b = binary.LittleEndian.AppendUint16(b, uint16(len(item)))
+	return append(b, item...)
+}
+
+// Builder collects a snapshot's chunks before any of them is in force.
+type Builder struct {
+	table *Table
+	rev   ident.Revision
+}
+
+// NewBuilder returns an empty Builder.
+func NewBuilder() *Builder {
+	return &Builder{table: New()}
+}
+
+// Add reads one chunk of a snapshot at a revision.
+func (b *Builder) Add(rev ident.Revision, chunk []byte) error {
+	const head = 3
+	for len(chunk) > 0 {
+		if len(chunk) < head {
+			return errSnapshot
+		}
+		n := head + int(binary.LittleEndian.Uint16(chunk[1:]))
+		k := record.Kind(chunk[0])
+		if len(chunk) < n || !k.IsAKind() {
+			return errSnapshot
+		}
+		if err := b.addItem(k, chunk[head:n]); err != nil {
+			return err
+		}
+		chunk = chunk[n:]
+	}
+	b.rev = rev
+	return nil
+}
+
+func (b *Builder) addItem(k record.Kind, item []byte) error {
+	body, raw, err := record.ParseCompact(k, item)
+	if err != nil {
+		return err
+	}
+	if fresh, err := record.Decode(k, record.IDOf(body), raw); len(raw) > 0 && err == nil {
+		body = fresh
+	}
+	b.table.insert(body, raw)
+	return nil
+}
+
+// AddState reads the folded configuration from the store. Records that cannot
+// be read are left out and counted.
+func (b *Builder) AddState(s *config.State) {
+	for k := record.KindTeam; k <= record.KindService; k++ {
+		for _, it := range s.List(k) {
+			b.table.applyItem(record.Item{Kind: k, ID: it.ID, After: it.Record})
+		}
+	}
+	b.rev = s.Revision
+}
+
+// Install puts the collected snapshot in force if it is newer than the
+// table's revision, and reports whether it did.
+func (t *Table) Install(b *Builder) bool {
+	t.applyMu.Lock()
+	defer t.applyMu.Unlock()
+	if b.rev <= t.Revision() {
+		return false
+	}
+	for k := range t.shards {
+		for i := range t.shards[k] {
+			s := &t.shards[k][i]
+			s.mu.Lock()
+			s.items = b.table.shards[k][i].items
+			s.mu.Unlock()
+		}
+	}
+	t.hosts.mu.Lock()
+	t.hosts.items = b.table.hosts.items
+	t.hosts.mu.Unlock()
+	t.history = nil
+	t.skipped = b.table.skipped
+	t.revision.Store(uint64(b.rev))
+	return true
+}
+
+// Skipped returns the number of records that could not be read.
+func (t *Table) Skipped() int {
+	t.applyMu.Lock()
+	defer t.applyMu.Unlock()
+	return t.skipped
+}
