--- a/daemon/vitals.go
+++ b/daemon/vitals.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"sort"
 	"sync"
 
 	"chestnutlatch/clock"
@@ -10,12 +9,8 @@
 	"chestnutlatch/member"
 )
 
-const (
-	// vitalLife is how long a peer's summary counts, in milliseconds.
-	vitalLife = 15 * clock.Second
-	// minVitalSamples is the least number of samples of a summary that counts.
-	minVitalSamples = 5
-)
+// vitalLife is how long a peer's summary counts, in milliseconds.
+const vitalLife = 15 * clock.Second
 
 type vital struct {
 	member.Vital
@@ -47,24 +42,15 @@
 func (v *vitals) Peers(now clock.Millis, s ident.Service, except ident.Target) health.Peers {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var latencies []ident.Micros
-	var successes []uint32
+	var list []health.PeerStats
 	for id, t := range v.services[s] {
 		if now-t.at > vitalLife {
 			delete(v.services[s], id)
 			continue
 		}
-		if id == except || t.Samples < minVitalSamples {
-			continue
+		if id != except {
+			list = append(list, health.PeerStats{At: t.at, Windows: t.Windows})
 		}
-		latencies = append(latencies, t.Latency)
-		successes = append(successes, t.SuccessPermill)
-	}
-	if len(latencies) == 0 {
-		return health.Peers{}
 	}
-	sort.Slice(latencies, func(i, j int) bool { return latencies[i] < latencies[j] })
-	sort.Slice(successes, func(i, j int) bool { return successes[i] < successes[j] })
-	mid := len(latencies) / 2
-	return health.Peers{Count: len(latencies), Latency: latencies[mid], SuccessPermill: successes[mid]}
+	return health.Summarise(list)
 }
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -197,22 +197,38 @@
 	if err := c.w.Flush(); err != nil {
 		return err
 	}
-	resp.SkipBody = req.Header.IsHead()
-	if err := resp.ReadLimitBody(c.r, maxBody); err != nil {
-		return err
-	}
-	return checkWhole(req, resp)
+	return c.readAnswer(req, resp, maxBody)
 }
 
-// checkWhole refuses an answer whose end is only the end of the connection:
-// nothing proves that it is whole.
-func checkWhole(req *fasthttp.Request, resp *fasthttp.Response) error {
-	const identity = -2
+// Values of ContentLength in the HTTP library for a body without a length.
+const (
+	chunkedBody  = -1
+	identityBody = -2
+)
+
+// readAnswer reads a whole answer. A body whose end is only the end of the
+// connection is refused, since nothing proves that it is whole.
+func (c *targetConn) readAnswer(req *fasthttp.Request, resp *fasthttp.Response, maxBody int) error {
+	for {
+		if err := resp.Header.Read(c.r); err != nil {
+			return err
+		}
+		if resp.StatusCode() != fasthttp.StatusContinue {
+			break
+		}
+	}
 	if req.Header.IsHead() || resp.StatusCode() == fasthttp.StatusNoContent || resp.StatusCode() == fasthttp.StatusNotModified {
 		return nil
 	}
-	if resp.Header.ContentLength() == identity {
+	length := resp.Header.ContentLength()
+	if length == identityBody {
 		return errHalf
 	}
+	if err := resp.ReadBody(c.r, maxBody); err != nil {
+		return err
+	}
+	if length == chunkedBody {
+		return resp.Header.ReadTrailer(c.r)
+	}
 	return nil
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -135,7 +135,7 @@
 func (g *Guard) Vitals(now clock.Millis) []member.Vital {
 	var out []member.Vital
 	for _, t := range g.list() {
-		if v := t.vital(now); v.Samples > 0 {
+		if v := t.vital(now); v.Windows[health.WindowCount-1].Count > 0 {
 			out = append(out, v)
 		}
 	}
--- a/guard/target.go
+++ b/guard/target.go
@@ -166,10 +166,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.detector.Stats(now)
-	return member.Vital{
-		Service: t.spec.Service, Target: t.spec.ID, Latency: s.Latency,
-		SuccessPermill: s.SuccessPermill(), Samples: uint32(s.Count),
-	}
+	return member.Vital{Service: t.spec.Service, Target: t.spec.ID, Windows: s.Windows}
 }
 
 func (t *target) report(now clock.Millis) *wire.LoadReport {
@@ -181,7 +178,7 @@
 		InFlight:  uint32(t.queue.Running()),
 		Queued:    uint32(t.queue.Waiting()),
 		Slots:     uint32(t.queue.Slots()),
-		LatencyUs: uint64(t.detector.Stats(now).Latency),
+		LatencyUs: uint64(t.detector.Stats(now).Recent().Latency),
 	}
 }
 
--- a/health/health.go
+++ b/health/health.go
@@ -4,6 +4,8 @@
 package health
 
 import (
+	"sort"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
 )
@@ -38,16 +40,42 @@
 	Latency ident.Micros
 }
 
-// Peers summarises the other targets of the service.
-type Peers struct {
-	// Count is the number of peers with recent samples.
+// Summary is the median of the other targets of a service.
+type Summary struct {
+	// Count is the number of targets with enough samples.
 	Count int
-	// Latency is the median of the peers' mean latencies.
+	// Latency is the median of their mean latencies.
 	Latency ident.Micros
-	// SuccessPermill is the median of the peers' success rates.
+	// SuccessPermill is the median of their success rates, in thousandths.
 	SuccessPermill uint32
 }
 
+// Peers tells how the other targets of the service fare.
+type Peers struct {
+	// At is when the summaries were taken: the median of the peers.
+	At clock.Millis
+	// Windows summarise the 1 s, 5 s and 60 s windows.
+	Windows [WindowCount]Summary
+}
+
+// PeerStats are one peer's statistics as it told them.
+type PeerStats struct {
+	At clock.Millis
+	// Windows are the counts of the 1 s, 5 s and 60 s windows.
+	Windows [WindowCount]Stats
+}
+
+// Recent returns the counts of the shortest window with enough samples, or of
+// the longest.
+func (p PeerStats) Recent() Stats {
+	for _, s := range p.Windows[1:] {
+		if s.Count >= minSamples {
+			return s
+		}
+	}
+	return p.Windows[WindowCount-1]
+}
+
 // Verdict is a detector's word on a target.
 type Verdict struct {
 	Sick   bool
@@ -145,3 +173,43 @@
 	}
 	return s
 }
+
+// MinPeerSamples is the least number of samples of a peer that counts.
+const MinPeerSamples = 5
+
+// Summarise makes the summary of peers that a detector compares with.
+func Summarise(list []PeerStats) Peers {
+	if len(list) == 0 {
+		return Peers{}
+	}
+	times := make([]clock.Millis, 0, len(list))
+	for _, p := range list {
+		times = append(times, p.At)
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	out := Peers{At: times[len(times)/2]}
+	for w := range out.Windows {
+		out.Windows[w] = summary(list, w)
+	}
+	return out
+}
+
+func summary(list []PeerStats, window int) Summary {
+	var latencies []ident.Micros
+	var successes []uint32
+	for _, p := range list {
+		s := p.Windows[window]
+		if s.Count < MinPeerSamples {
+			continue
+		}
+		latencies = append(latencies, s.Latency)
+		successes = append(successes, s.SuccessPermill())
+	}
+	if len(latencies) == 0 {
+		return Summary{}
+	}
+	sort.Slice(latencies, func(i, j int) bool { return latencies[i] < latencies[j] })
+	sort.Slice(successes, func(i, j int) bool { return successes[i] < successes[j] })
+	mid := len(latencies) / 2
+	return Summary{Count: len(latencies), Latency: latencies[mid], SuccessPermill: successes[mid]}
+}
--- a/member/codec.go
+++ b/member/codec.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"chestnutlatch/health"
 	"chestnutlatch/ident"
 	"chestnutlatch/limit"
 	"chestnutlatch/wire"
@@ -24,10 +25,7 @@
 		d.Members = append(d.Members, toWire(r))
 	}
 	for _, t := range m.Vitals {
-		d.Vitals = append(d.Vitals, &wire.Vital{
-			Service: string(t.Service), Target: string(t.Target), LatencyUs: uint64(t.Latency),
-			SuccessPermille: t.SuccessPermill, Samples: t.Samples,
-		})
+		d.Vitals = append(d.Vitals, toVital(t))
 	}
 	b, err := proto.Marshal(d)
 	if err != nil {
@@ -55,14 +53,31 @@
 		m.Members = append(m.Members, fromWire(r))
 	}
 	for _, t := range d.GetVitals() {
-		m.Vitals = append(m.Vitals, Vital{
-			Service: ident.Service(t.GetService()), Target: ident.Target(t.GetTarget()),
-			Latency: ident.Micros(t.GetLatencyUs()), SuccessPermill: t.GetSuccessPermille(), Samples: t.GetSamples(),
-		})
+		m.Vitals = append(m.Vitals, fromVital(t))
 	}
 	return m, nil
 }
 
+func toVital(t Vital) *wire.Vital {
+	w := &wire.Vital{Service: string(t.Service), Target: string(t.Target)}
+	for _, s := range t.Windows {
+		w.Windows = append(w.Windows, &wire.Tally{
+			Count: uint32(s.Count), Failures: uint32(s.Failures), LatencyUs: uint64(s.Latency),
+		})
+	}
+	return w
+}
+
+func fromVital(w *wire.Vital) Vital {
+	t := Vital{Service: ident.Service(w.GetService()), Target: ident.Target(w.GetTarget())}
+	for i, s := range w.GetWindows()[:min(len(w.GetWindows()), health.WindowCount)] {
+		t.Windows[i] = health.Stats{
+			Count: int(s.GetCount()), Failures: int(s.GetFailures()), Latency: ident.Micros(s.GetLatencyUs()),
+		}
+	}
+	return t
+}
+
 func toWire(m *Member) *wire.Member {
 	w := &wire.Member{
 		Instance:      string(m.Instance),
--- a/member/member.go
+++ b/member/member.go
@@ -6,6 +6,7 @@
 
 import (
 	"chestnutlatch/clock"
+	"chestnutlatch/health"
 	"chestnutlatch/ident"
 	"chestnutlatch/limit"
 )
@@ -75,11 +76,10 @@
 
 // Vital is a guard's summary of one target, for its peers in the service.
 type Vital struct {
-	Service        ident.Service
-	Target         ident.Target
-	Latency        ident.Micros
-	SuccessPermill uint32
-	Samples        uint32
+	Service ident.Service
+	Target  ident.Target
+	// Windows count the last 1 s, 5 s and 60 s.
+	Windows [health.WindowCount]health.Stats
 }
 
 // MessageKind tells the datagrams apart.
--- /dev/null
+++ b/rigs/trial.go
@@ -0,0 +1,72 @@
+package rigs
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"chestnutlatch/cmdkit"
+	"chestnutlatch/trial"
+)
+
+// TrialOptions are the flags of `standin trial`.
+type TrialOptions struct {
+	Streams cmdkit.Streams
+	Seed    uint64
+	Seeds   int
+}
+
+// NewCmdTrial returns the `standin trial` command.
+func NewCmdTrial(s cmdkit.Streams) *cobra.Command {
+	cmd := &cobra.Command{Use: "trial COMMAND", Short: "Measure the decision packages on scripted faults, without I/O"}
+	cmd.AddCommand(newCmdTrial(s, "detect", "Compare the detectors", detectRun))
+	return cmd
+}
+
+func newCmdTrial(s cmdkit.Streams, name, short string, run func(*TrialOptions) error) *cobra.Command {
+	opts := &TrialOptions{Streams: s}
+	cmd := &cobra.Command{
+		Use:     name,
+		Short:   short,
+		Example: "  standin trial " + name + " --seed 1 --seeds 5",
+		Args:    cobra.NoArgs,
+		RunE:    func(*cobra.Command, []string) error { return run(opts) },
+	}
+	cmd.Flags().Uint64Var(&opts.Seed, "seed", 1, "first seed")
+	cmd.Flags().IntVar(&opts.Seeds, "seeds", 5, "number of seeds")
+	return cmd
+}
+
+// detectRun prints a row for each site, script and detector: the worst
+// detection time over the seeds, and the sums of the counts.
+func detectRun(opts *TrialOptions) error {
+	head := []string{"site", "script", "detector", "detected", "worst_ms", "false_ejections", "hurt", "ejections"}
+	var rows [][]string
+	for _, site := range trial.Sites {
+		for _, script := range trial.Scripts {
+			for _, d := range trial.Detectors {
+				var sum trial.Detection
+				found := 0
+				for i := range opts.Seeds {
+					one := trial.Detect(site, script, d.New, opts.Seed+uint64(i))
+					if one.Detected {
+						found++
+					}
+					sum.After = max(sum.After, one.After)
+					sum.False += one.False
+					sum.Hurt += one.Hurt
+					sum.Ejections += one.Ejections
+				}
+				detected := "-"
+				if script.IsFault {
+					detected = fmt.Sprintf("%d/%d", found, opts.Seeds)
+				}
+				rows = append(rows, []string{
+					site.Name, script.Name, d.Name, detected, fmt.Sprint(int64(sum.After)),
+					fmt.Sprint(sum.False), fmt.Sprint(sum.Hurt), fmt.Sprint(sum.Ejections),
+				})
+			}
+		}
+	}
+	return opts.Streams.Table(head, rows)
+}
