Prove the team's rate by an exact bucket; draw near slots first

Ruled out: starting buckets empty when an allowance moves a team to other slots.

The trial also showed that a team over its rate made each request draw again and again; each slot is now asked once a request.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -97,8 +97,7 @@
 		meter:       meter.New(),
 		table:       table.New(),
 		picker:      choose.New(cfg.DataCentre, cfg.Region, seed),
-		purse:       limit.NewPurse(cfg.RateSlots),
-		allocator:   limit.NewAllocator(),
+		allocator:   limit.NewAllocator(cfg.RateSlots),
 		peers:       peers.New(creds, cfg.FleetSecret),
 		pool:        pool,
 		vitals:      newVitals(),
@@ -106,6 +105,7 @@
 	}
 	d.guard = d.newGuard(secret)
 	d.members = newMembers(d, rnd)
+	d.purse = limit.NewPurse(cfg.RateSlots, d.members.slotDistance)
 	d.slots = newSlots(d)
 	d.syncer = newSyncer(d)
 	d.entry = d.newEntry()
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -296,6 +296,33 @@
 	return h.instance, r.InnerAddress, true
 }
 
+// slotDistance ranks the holder of a rate slot: this daemon, its data centre,
+// its region, elsewhere.
+func (m *members) slotDistance(s limit.Slot) int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	h, ok := m.holders[s]
+	if !ok {
+		return farthest
+	}
+	r, ok := m.view.Get(h.instance)
+	switch {
+	case !ok:
+		return farthest
+	case r.Instance == m.d.instance:
+		return 0
+	case r.DataCentre == m.d.cfg.DataCentre:
+		return 1
+	case r.Region == m.d.cfg.Region:
+		return 2
+	default:
+		return farthest
+	}
+}
+
+// farthest is the rank of a holder in another region.
+const farthest = 3
+
 // Trust implements entry.Fleet. A daemon that hears neither peer nor store,
 // or that cannot fetch a revision it knows of, may have missed a withdrawal.
 func (m *members) Trust(now clock.Millis) *fault.Refusal {
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -85,6 +85,7 @@
 	out.Tokens = g.Tokens
 	out.TtlMs = uint32(g.TTL)
 	out.RetryAfterMs = uint32(g.RetryAfter)
+	out.Rich = g.Rich
 	return out
 }
 
@@ -225,12 +226,13 @@
 }
 
 func (s *slots) giveUp(ctx context.Context, slot limit.Slot) bool {
-	_, rev, found, err := s.readClaim(ctx, slot)
-	if err != nil || !found {
+	asked := s.d.clk.Now()
+	read, rev, found, err := s.readClaim(ctx, slot)
+	if err != nil {
 		return false
 	}
 	s.mu.Lock()
-	c, ok := s.holder.Release(slot)
+	c, ok := s.holder.Release(asked, slot, read, found)
 	delete(s.astray, slot)
 	s.mu.Unlock()
 	if !ok {
--- a/daemon/syncer.go
+++ b/daemon/syncer.go
@@ -202,7 +202,7 @@
 // inForce tells the fleet of the revision now in force.
 func (s *syncer) inForce(from string) {
 	r := s.d.table.Revision()
-	s.d.log.Info("configuration in force", "revision", uint64(r), "from", from)
+	s.d.log.Debug("configuration in force", "revision", uint64(r), "from", from)
 	s.d.members.setRevision(r)
 }
 
--- a/entry/rate.go
+++ b/entry/rate.go
@@ -23,24 +23,25 @@
 // takeToken spends one token of the team's rate, or says why not.
 func (e *Entry) takeToken(ctx context.Context, team record.Team) *fault.Refusal {
 	a := limit.Allowance{Rate: team.Rate, Burst: team.Burst}
-	var failed []limit.Slot
+	var tried []limit.Slot
 	answered := false
 	for {
-		switch d := e.Purse.Take(e.Clock.Now(), team.ID, a, failed).(type) {
+		switch d := e.Purse.Take(e.Clock.Now(), team.ID, a, tried).(type) {
 		case limit.Admit:
 			e.prefetch(team.ID, d.Prefetch)
 			return nil
 		case limit.Wait:
-			if len(failed) > 0 && !answered {
+			if len(tried) > 0 && !answered {
 				return fault.NotRun(fault.RateUnavailable,
 					"the holders of team %s's rate cannot be reached: repeat after the given time", team.ID).After(d.After)
 			}
 			return fault.NotRun(fault.OverRate, "team %s is over its rate of %d/s and burst of %d: wait as told, or ask for a higher rate",
 				team.ID, team.Rate, team.Burst).After(d.After)
 		case limit.Draw:
-			if err := e.draw(ctx, team.ID, d); err != nil {
-				failed = append(failed, d.Slot)
-			} else {
+			// Each slot is asked once for a request; a team over its rate
+			// must not turn every request into a stream of draws.
+			tried = append(tried, d.Slot)
+			if e.draw(ctx, team.ID, d) == nil {
 				answered = true
 			}
 		}
@@ -80,6 +81,7 @@
 		Tokens:     g.GetTokens(),
 		TTL:        clock.Millis(g.GetTtlMs()),
 		RetryAfter: clock.Millis(g.GetRetryAfterMs()),
+		Rich:       g.GetRich(),
 	})
 	return nil
 }
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -12,10 +12,13 @@
 // bucketShards is the number of shards of an Allocator.
 const bucketShards = 16
 
-// idleAfter is how long an unused bucket is remembered, in milliseconds. A
-// forgotten bucket starts empty.
+// idleAfter is how long an unused bucket is remembered, in milliseconds.
 const idleAfter = 10 * clock.Minute
 
+// maxRefill fills every bucket, in milliseconds, and keeps the products in
+// range.
+const maxRefill = 1_000_000 * clock.Second
+
 // Grant is an allocator's answer to a draw.
 type Grant struct {
 	Tokens uint32
@@ -23,6 +26,9 @@
 	TTL clock.Millis
 	// RetryAfter is when the next token is due, if none was granted.
 	RetryAfter clock.Millis
+	// Rich tells that the bucket is at least half full after the grant, so
+	// that tokens that expire unused cost the team nothing.
+	Rich bool
 }
 
 type bucketKey struct {
@@ -42,34 +48,49 @@
 type bucketShard struct {
 	mu      sync.Mutex
 	buckets map[bucketKey]*bucket
+	// swept is when a bucket was last forgotten for being idle. A bucket that
+	// is made anew starts empty at that time, since it may have been emptied
+	// before it was forgotten.
+	swept clock.Millis
 }
 
 // Allocator holds the buckets of the slots that this daemon holds. It is safe
 // for concurrent use.
 type Allocator struct {
+	// count is the number of slots in the fleet.
+	count  int
 	shards [bucketShards]bucketShard
 }
 
-// NewAllocator returns an allocator without buckets.
-func NewAllocator() *Allocator {
-	a := &Allocator{}
+// NewAllocator returns an allocator without buckets for a fleet with count
+// slots.
+func NewAllocator(count int) *Allocator {
+	a := &Allocator{count: count}
 	for i := range a.shards {
 		a.shards[i].buckets = map[bucketKey]*bucket{}
 	}
 	return a
 }
 
+func (al *Allocator) shard(team ident.Team) *bucketShard {
+	return &al.shards[xxhash.Sum64String(string(team))%bucketShards]
+}
+
 // Grant takes up to want tokens from a team's bucket in a slot held since
-// `since`. A bucket not seen before starts empty at that time, since the
+// `since`. A slot that is not one of the team's grants nothing, since the
+// team's slots alone share its rate. A bucket not seen before starts empty at that time, since the
 // slot's holder before may have emptied it.
 func (al *Allocator) Grant(now, since clock.Millis, slot Slot, team ident.Team, a Allowance, want uint32) Grant {
-	s := &al.shards[xxhash.Sum64String(string(team))%bucketShards]
+	if !contains(SlotsOf(team, a, al.count), slot) {
+		return Grant{RetryAfter: clock.Second}
+	}
+	s := al.shard(team)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := bucketKey{slot, team}
 	b := s.buckets[key]
 	if b == nil || b.at < since {
-		b = &bucket{at: since}
+		b = &bucket{at: max(since, s.swept)}
 		s.buckets[key] = b
 	}
 	b.refill(now, a)
@@ -78,15 +99,14 @@
 		return Grant{RetryAfter: b.due(a)}
 	}
 	b.level -= tokens * Token
-	return Grant{Tokens: uint32(tokens), TTL: a.TTL()}
+	return Grant{Tokens: uint32(tokens), TTL: a.TTL(), Rich: b.level >= a.partCapacity()/2}
 }
 
 func (b *bucket) refill(now clock.Millis, a Allowance) {
 	if now <= b.at {
 		return
 	}
-	// An hour fills every bucket; the bound keeps the product small.
-	span := min(now-b.at, clock.Hour)
+	span := min(now-b.at, maxRefill)
 	gained := int64(a.partRate())*int64(span) + b.rest
 	b.at = now
 	b.rest = gained % int64(clock.Second)
@@ -100,21 +120,27 @@
 
 // Forget drops a slot's buckets, for a slot that this daemon gave up.
 func (al *Allocator) Forget(slot Slot) {
-	al.dropIf(func(k bucketKey, _ *bucket) bool { return k.slot == slot })
+	for i := range al.shards {
+		s := &al.shards[i]
+		s.mu.Lock()
+		for k := range s.buckets {
+			if k.slot == slot {
+				delete(s.buckets, k)
+			}
+		}
+		s.mu.Unlock()
+	}
 }
 
 // Sweep drops buckets that were not used for a long time.
 func (al *Allocator) Sweep(now clock.Millis) {
-	al.dropIf(func(_ bucketKey, b *bucket) bool { return now-b.at > idleAfter })
-}
-
-func (al *Allocator) dropIf(match func(bucketKey, *bucket) bool) {
 	for i := range al.shards {
 		s := &al.shards[i]
 		s.mu.Lock()
 		for k, b := range s.buckets {
-			if match(k, b) {
+			if now-b.at > idleAfter {
 				delete(s.buckets, k)
+				s.swept = now
 			}
 		}
 		s.mu.Unlock()
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -179,15 +179,15 @@
 	s.confirmed = true
 }
 
-// Release returns the claim that gives a slot up; the daemon stops granting at
-// once.
-func (h *Holder) Release(slot Slot) (Claim, bool) {
-	seen := h.seen[slot]
-	if h.held[slot] == nil || !h.isMine(seen.Claim) {
+// Release gives a slot up; the daemon stops granting at once. c is the slot's
+// record as read at the time asked. The returned claim is to be written over
+// it, unless another daemon has taken the slot meanwhile.
+func (h *Holder) Release(asked clock.Millis, slot Slot, c Claim, found bool) (Claim, bool) {
+	h.Observe(asked, slot, c, found)
+	if h.held[slot] == nil {
 		return Claim{}, false
 	}
 	delete(h.held, slot)
-	c := seen.Claim
 	c.Released = true
 	return c, true
 }
--- a/limit/purse.go
+++ b/limit/purse.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"sort"
 	"sync"
 
 	"chestnutlatch/clock"
@@ -16,6 +17,11 @@
 	demandPart = 4
 	// maxWant bounds one draw in tokens.
 	maxWant = 10_000
+	// leastDemand is the least demand in one time to live that is prefetched.
+	leastDemand = 0.3
+	// leastWant is the least draw that is prefetched from a slot that is not
+	// rich.
+	leastWant = 3
 )
 
 // Decision is a purse's word on one request: Admit, Draw or Wait.
@@ -56,13 +62,14 @@
 	emptyUntil clock.Millis
 	// drawing tells that a prefetch is under way.
 	drawing bool
+	// rich tells that the slot's bucket was at least half full.
+	rich bool
 }
 
 type wallet struct {
 	batches []batch
-	slots   []slotView
-	// turn is the slot to draw from first.
-	turn int
+	// slots are ordered from the nearest holder to the farthest.
+	slots []slotView
 	// taken counts requests since the window began.
 	taken  uint32
 	window clock.Millis
@@ -80,13 +87,16 @@
 // use.
 type Purse struct {
 	// count is the number of slots in the fleet.
-	count  int
-	shards [purseShards]purseShard
+	count int
+	// distance ranks the holder of a slot, lowest first.
+	distance func(Slot) int
+	shards   [purseShards]purseShard
 }
 
-// NewPurse returns an empty purse for a fleet with count slots.
-func NewPurse(count int) *Purse {
-	p := &Purse{count: count}
+// NewPurse returns an empty purse for a fleet with count slots. distance ranks
+// the holder of a slot; draws go to the lowest rank first.
+func NewPurse(count int, distance func(Slot) int) *Purse {
+	p := &Purse{count: count, distance: distance}
 	for i := range p.shards {
 		p.shards[i].wallets = map[ident.Team]*wallet{}
 	}
@@ -106,25 +116,26 @@
 	for _, slot := range SlotsOf(team, a, p.count) {
 		w.slots = append(w.slots, slotView{slot: slot})
 	}
+	sort.SliceStable(w.slots, func(i, j int) bool { return p.distance(w.slots[i].slot) < p.distance(w.slots[j].slot) })
 	s.wallets[team] = w
 	return w
 }
 
-// Take decides on one request. skip holds the slots that this request has
-// tried in vain.
-func (p *Purse) Take(now clock.Millis, team ident.Team, a Allowance, skip []Slot) Decision {
+// Take decides on one request. tried holds the slots that were asked for this
+// request before; they are not asked again.
+func (p *Purse) Take(now clock.Millis, team ident.Team, a Allowance, tried []Slot) Decision {
 	s := p.shard(team)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := p.wallet(s, team, a)
 	w.used = now
-	if len(skip) == 0 {
+	if len(tried) == 0 {
 		w.count(now, a)
 	}
 	if w.spend(now) {
 		return Admit{Prefetch: w.prefetch(now)}
 	}
-	slot, wait, ok := w.pick(now, skip)
+	slot, wait, ok := w.pick(now, tried)
 	if !ok {
 		return Wait{After: wait}
 	}
@@ -170,19 +181,20 @@
 }
 
 // prefetch asks for a draw when the tokens at hand cover less than a third of
-// the demand.
+// the demand. A small demand is prefetched only from a rich slot, where tokens
+// that expire unused do no harm.
 func (w *wallet) prefetch(now clock.Millis) Draw {
 	want := w.want()
-	if want < 3 || w.left() > want/3 {
+	if w.demand < leastDemand || w.left() > want/3 {
 		return Draw{}
 	}
 	for i := range w.slots {
-		v := &w.slots[(w.turn+i)%len(w.slots)]
-		if !v.drawing && now >= v.emptyUntil {
-			v.drawing = true
-			w.turn = (w.turn + i + 1) % len(w.slots)
-			return Draw{Slot: v.slot, Want: want}
+		v := &w.slots[i]
+		if v.drawing || now < v.emptyUntil || !v.rich && want < leastWant {
+			continue
 		}
+		v.drawing = true
+		return Draw{Slot: v.slot, Want: want}
 	}
 	return Draw{}
 }
@@ -193,11 +205,11 @@
 }
 
 // pick returns the next slot that may have a token.
-func (w *wallet) pick(now clock.Millis, skip []Slot) (slot Slot, wait clock.Millis, ok bool) {
+func (w *wallet) pick(now clock.Millis, tried []Slot) (slot Slot, wait clock.Millis, ok bool) {
 	wait = clock.Second
 	for i := range w.slots {
-		v := &w.slots[(w.turn+i)%len(w.slots)]
-		if contains(skip, v.slot) {
+		v := &w.slots[i]
+		if contains(tried, v.slot) {
 			continue
 		}
 		if now >= v.emptyUntil {
@@ -237,9 +249,9 @@
 		}
 		v.drawing = false
 		v.emptyUntil = 0
+		v.rich = g.Rich
 		if g.Tokens == 0 {
 			v.emptyUntil = asked + g.RetryAfter
-			w.turn = (i + 1) % len(w.slots)
 		}
 	}
 	if g.Tokens > 0 {
@@ -259,7 +271,6 @@
 	for i := range w.slots {
 		if w.slots[i].slot == slot {
 			w.slots[i].drawing = false
-			w.turn = (i + 1) % len(w.slots)
 		}
 	}
 }
--- a/limit/split.go
+++ b/limit/split.go
@@ -34,6 +34,9 @@
 	// ttlPart sets the time to live to one part in ttlPart of the time that
 	// the rate takes to fill the burst.
 	ttlPart = 4
+	// clockGrain is the step of the clock; a time read from it may lie that
+	// much in the past.
+	clockGrain = clock.Millisecond
 )
 
 // Allowance is a team's rate and burst.
@@ -52,9 +55,9 @@
 // TTL returns how long an entry may keep a token, in milliseconds.
 func (a Allowance) TTL() clock.Millis {
 	if a.Rate == 0 {
-		return maxTTL
+		return maxTTL - clockGrain
 	}
-	return min(maxTTL, clock.Millis(uint64(a.Burst)*1000/(ttlPart*uint64(a.Rate))))
+	return min(maxTTL, clock.Millis(uint64(a.Burst)*1000/(ttlPart*uint64(a.Rate)))) - clockGrain
 }
 
 // partRate returns one slot's rate in thousandths of a token per second.
@@ -65,7 +68,9 @@
 // partCapacity returns the most tokens that one slot may have at hand.
 func (a Allowance) partCapacity() Milli {
 	burst := Milli(a.Burst) * Token / Milli(a.Parts())
-	return burst - a.partRate()*Milli(a.TTL())/Milli(clock.Second) - 1
+	reserve := a.partRate() * Milli(a.TTL()+clockGrain)
+	second := Milli(clock.Second)
+	return burst - (reserve+second-1)/second
 }
 
 // SlotsOf returns the slots of a team among count slots. They differ modulo
--- a/rigs/trial.go
+++ b/rigs/trial.go
@@ -19,7 +19,7 @@
 // NewCmdTrial returns the `standin trial` command.
 func NewCmdTrial(s cmdkit.Streams) *cobra.Command {
 	cmd := &cobra.Command{Use: "trial COMMAND", Short: "Measure the decision packages on scripted faults, without I/O"}
-	cmd.AddCommand(newCmdTrial(s, "detect", "Compare the detectors", detectRun))
+	cmd.AddCommand(newCmdTrial(s, "detect", "Compare the detectors", detectRun), newCmdTrial(s, "rate", "Compare the ways of limiting a team's rate", rateRun))
 	return cmd
 }
 
@@ -70,3 +70,38 @@
 	}
 	return opts.Streams.Table(head, rows)
 }
+
+// rateRun prints a row for each pattern and way: sums over the seeds, and the
+// worst-served team.
+func rateRun(opts *TrialOptions) error {
+	ways := []struct {
+		name string
+		make func() trial.Admitter
+	}{{"equal split", trial.EqualSplit}, {"drawn tokens", trial.DrawnTokens}}
+	var rows [][]string
+	for _, script := range trial.RateScripts {
+		for _, w := range ways {
+			sum := trial.RateResult{WorstTeam: 1}
+			for i := range opts.Seeds {
+				one := trial.Rate(script, w.make(), opts.Seed+uint64(i))
+				sum.Sent += one.Sent
+				sum.Wrong += one.Wrong
+				sum.Over += one.Over
+				sum.Draws += one.Draws
+				sum.Waited += one.Waited
+				sum.Far += one.Far
+				sum.WorstTeam = min(sum.WorstTeam, one.WorstTeam)
+			}
+			rows = append(rows, []string{
+				script.Name, w.name, fmt.Sprint(sum.Sent),
+				fmt.Sprintf("%.2f%%", 100*float64(sum.Wrong)/float64(sum.Sent)),
+				fmt.Sprintf("%.3f", sum.WorstTeam), fmt.Sprint(sum.Over),
+				fmt.Sprintf("%.3f", float64(sum.Draws)/float64(sum.Sent)),
+				fmt.Sprintf("%.2f%%", 100*float64(sum.Waited)/float64(sum.Sent)),
+				fmt.Sprintf("%.2f%%", 100*float64(sum.Far)/float64(sum.Sent)),
+			})
+		}
+	}
+	head := []string{"pattern", "way", "sent", "wrongly_refused", "worst_team", "over", "draws_per_request", "waited", "waited_far"}
+	return opts.Streams.Table(head, rows)
+}
