Share a full target by team first, then by priority

Ruled out: larger weights for low priorities, which only moves the loss to bookings.

Now teams have one virtual time each; a team ahead of its share waits, and the priority decides among the others. A team's weight now reaches the guard.

--- a/entry/http.go
+++ b/entry/http.go
@@ -75,6 +75,7 @@
 		Service:  string(r.route.Service),
 		Team:     string(r.team.ID),
 		Priority: uint32(r.route.Priority),
+		Weight:   r.team.Weight,
 		Method:   string(c.Method()),
 		Uri:      string(c.RequestURI()),
 		Body:     append([]byte(nil), c.PostBody()...),
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -30,7 +30,7 @@
 	job := queue.Job{
 		Team:     ident.Team(req.GetTeam()),
 		Priority: min(ident.Priority(req.GetPriority()), ident.PriorityHigh),
-		Weight:   1,
+		Weight:   max(req.GetWeight(), 1),
 		Deadline: now + timeout,
 	}
 	if r := t.acquire(ctx, now, job); r != nil {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -4,6 +4,8 @@
 package queue
 
 import (
+	"math"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/ident"
@@ -16,8 +18,12 @@
 // priority first.
 var priorityWeights = [priorityCount]float64{1, 4, 16}
 
+// shareSlack is how many requests, by its weight, a team may be ahead of the
+// team served least. Within it the priority decides, beyond it the team waits.
+const shareSlack = 4
+
 // reservedPart is the part of the waiting places, one in reservedPart, that
-// requests of a higher priority cannot take from a lower one.
+// each priority keeps.
 const reservedPart = 8
 
 // JobID names one request at this queue.
@@ -53,21 +59,19 @@
 func (Start) effect()  {}
 func (Refuse) effect() {}
 
-// line holds the waiting jobs of one team in one priority.
+// line holds the waiting jobs of one team.
 type line struct {
-	jobs []Job
-	// pass is the line's virtual time; the line with the lowest goes next.
+	// jobs are in order of arrival, by priority.
+	jobs  [priorityCount][]Job
+	count int
+	// weight is that of the newest job.
+	weight float64
+	// pass is the line's virtual time: the requests served, by weight.
 	pass float64
 }
 
-// class holds the lines of one priority.
-type class struct {
-	lines map[ident.Team]*line
-	count int
-	pass  float64
-	// floor is the pass of the line served last; idle lines start there.
-	floor float64
-}
+// share returns the waiting jobs by weight.
+func (l *line) share() float64 { return float64(l.count) / l.weight }
 
 // Queue shares one target's slots. It is not safe for concurrent use.
 type Queue struct {
@@ -77,18 +81,20 @@
 	limit   int
 	running int
 	waiting int
-	classes [priorityCount]class
-	// floor is the pass of the class served last.
+	lines   map[ident.Team]*line
+	// floor is the virtual time of the line served least when a job last
+	// started; idle teams start there.
 	floor float64
+	// classes holds the virtual time of each priority, counts its jobs.
+	classes [priorityCount]float64
+	counts  [priorityCount]int
+	// classFloor is the virtual time of the priority served last.
+	classFloor float64
 }
 
 // New returns an empty queue.
 func New(slots, limit int) *Queue {
-	q := &Queue{slots: max(slots, 1), limit: limit}
-	for i := range q.classes {
-		q.classes[i].lines = map[ident.Team]*line{}
-	}
-	return q
+	return &Queue{slots: max(slots, 1), limit: limit, lines: map[ident.Team]*line{}}
 }
 
 // Running returns the number of started jobs.
@@ -147,17 +153,21 @@
 }
 
 func (q *Queue) enqueue(j Job) {
-	c := &q.classes[j.Priority]
-	if c.count == 0 {
-		c.pass = max(c.pass, q.floor)
-	}
-	l := c.lines[j.Team]
+	l := q.lines[j.Team]
 	if l == nil {
-		l = &line{pass: c.floor}
-		c.lines[j.Team] = l
+		l = &line{pass: q.floor}
+		q.lines[j.Team] = l
 	}
-	l.jobs = append(l.jobs, j)
-	c.count++
+	if l.count == 0 {
+		l.pass = max(l.pass, q.floor)
+	}
+	if q.counts[j.Priority] == 0 {
+		q.classes[j.Priority] = max(q.classes[j.Priority], q.classFloor)
+	}
+	l.weight = float64(max(j.Weight, 1))
+	l.jobs[j.Priority] = append(l.jobs[j.Priority], j)
+	l.count++
+	q.counts[j.Priority]++
 	q.waiting++
 }
 
@@ -172,112 +182,132 @@
 	return effects
 }
 
-// next takes the job with the lowest virtual time. Equal times go to the
-// higher priority and to the lower team name.
+// next takes the job to start: of the teams that are not ahead of their share,
+// the priority with the lowest virtual time, and in it the team served least.
 func (q *Queue) next() Job {
+	q.floor = q.lowest()
+	q.forgetIdle()
 	best := -1
+	var team ident.Team
 	for p := priorityCount - 1; p >= 0; p-- {
-		if q.classes[p].count > 0 && (best < 0 || q.classes[p].pass < q.classes[best].pass) {
-			best = p
+		t, ok := q.leastServed(p)
+		if ok && (best < 0 || q.classes[p] < q.classes[best]) {
+			best, team = p, t
 		}
 	}
-	c := &q.classes[best]
-	q.floor = c.pass
-	c.pass += 1 / priorityWeights[best]
-	team := c.nextTeam()
-	l := c.lines[team]
-	j := l.jobs[0]
-	c.floor = l.pass
-	l.pass += 1 / float64(max(j.Weight, 1))
-	q.take(c, team, 0)
+	q.classFloor = q.classes[best]
+	q.classes[best] += 1 / priorityWeights[best]
+	l := q.lines[team]
+	j := l.jobs[best][0]
+	l.pass += 1 / l.weight
+	q.take(l, best, 0)
 	return j
 }
 
-func (c *class) nextTeam() ident.Team {
-	var best ident.Team
-	found := false
-	for team, l := range c.lines {
-		if !found || l.pass < c.lines[best].pass || l.pass == c.lines[best].pass && team < best {
-			best, found = team, true
+// lowest returns the virtual time of the waiting team served least.
+func (q *Queue) lowest() float64 {
+	low := math.Inf(1)
+	for _, l := range q.lines {
+		if l.count > 0 {
+			low = min(low, l.pass)
 		}
 	}
-	return best
+	return low
 }
 
-// take removes one job of a line, and the line when it is empty and has no
-// virtual time to remember.
-func (q *Queue) take(c *class, team ident.Team, i int) {
-	l := c.lines[team]
-	l.jobs = append(l.jobs[:i:i], l.jobs[i+1:]...)
-	c.count--
-	q.waiting--
-	if len(l.jobs) == 0 && (l.pass <= c.floor || c.count == 0) {
-		delete(c.lines, team)
+// forgetIdle drops the lines without jobs whose time the others have reached.
+func (q *Queue) forgetIdle() {
+	for team, l := range q.lines {
+		if l.count == 0 && l.pass <= q.floor {
+			delete(q.lines, team)
+		}
 	}
 }
 
-// makeRoom drops the newest job of the team that holds most places, from the
-// lowest priority that is over its reserve. It fails if the new job's own team
-// holds most places of its priority.
-func (q *Queue) makeRoom(j Job) (JobID, bool) {
-	reserve := q.limit / reservedPart
-	for p := range int(j.Priority) {
-		if c := &q.classes[p]; c.count > reserve {
-			return q.dropNewest(c, c.longest()), true
+// leastServed returns the team with the lowest virtual time that has a job of
+// the priority and is not ahead of its share.
+func (q *Queue) leastServed(p int) (best ident.Team, found bool) {
+	for team, l := range q.lines {
+		if len(l.jobs[p]) == 0 || l.pass > q.floor+shareSlack/l.weight {
+			continue
+		}
+		if !found || l.pass < q.lines[best].pass || l.pass == q.lines[best].pass && team < best {
+			best, found = team, true
 		}
 	}
-	c := &q.classes[j.Priority]
-	team := c.longest()
-	if team == "" || c.share(team) <= c.shareWith(j) {
-		return 0, false
-	}
-	return q.dropNewest(c, team), true
+	return best, found
+}
+
+// take removes one job of a line.
+func (q *Queue) take(l *line, p, i int) {
+	l.jobs[p] = append(l.jobs[p][:i:i], l.jobs[p][i+1:]...)
+	l.count--
+	q.counts[p]--
+	q.waiting--
 }
 
-// share returns a team's waiting jobs by its weight.
-func (c *class) share(team ident.Team) float64 {
-	l := c.lines[team]
-	if l == nil || len(l.jobs) == 0 {
-		return 0
+// makeRoom drops a job of the team that holds most places: its newest one of
+// its lowest priority. If that is the new job's own team, the team's other
+// priorities make room.
+func (q *Queue) makeRoom(j Job) (JobID, bool) {
+	own := q.lines[j.Team]
+	mine := 1.0
+	if own != nil {
+		mine += float64(own.count)
+	}
+	mine /= float64(max(j.Weight, 1))
+	team := q.longest()
+	if l := q.lines[team]; team != "" && team != j.Team && l.share() > mine {
+		return q.dropNewest(l, func(int) bool { return true })
+	}
+	if own == nil {
+		return 0, false
 	}
-	return float64(len(l.jobs)) / float64(max(l.jobs[0].Weight, 1))
+	return q.dropNewest(own, func(p int) bool { return q.yields(p, int(j.Priority)) })
 }
 
-// shareWith returns the share of the job's team with the job added.
-func (c *class) shareWith(j Job) float64 {
-	n := 1
-	if l := c.lines[j.Team]; l != nil {
-		n += len(l.jobs)
+// yields reports whether a waiting job of priority p makes room for one of
+// priority to. Every priority keeps its reserve of places: no higher one
+// takes it, and a lower one gets it back.
+func (q *Queue) yields(p, to int) bool {
+	reserve := q.limit / reservedPart
+	if q.counts[p] <= reserve || p == to {
+		return false
 	}
-	return float64(n) / float64(max(j.Weight, 1))
+	return p < to || q.counts[to] < reserve
 }
 
-func (c *class) longest() ident.Team {
+func (q *Queue) longest() ident.Team {
 	var best ident.Team
-	for team := range c.lines {
-		if c.share(team) > c.share(best) || c.share(team) == c.share(best) && team < best {
-			best = team
+	most := 0.0
+	for team, l := range q.lines {
+		if s := l.share(); s > most || s == most && s > 0 && team < best {
+			best, most = team, s
 		}
 	}
 	return best
 }
 
-func (q *Queue) dropNewest(c *class, team ident.Team) JobID {
-	l := c.lines[team]
-	id := l.jobs[len(l.jobs)-1].ID
-	q.take(c, team, len(l.jobs)-1)
-	return id
+// dropNewest drops the newest job of the lowest priority that may go.
+func (q *Queue) dropNewest(l *line, may func(p int) bool) (JobID, bool) {
+	for p := range l.jobs {
+		if n := len(l.jobs[p]); n > 0 && may(p) {
+			id := l.jobs[p][n-1].ID
+			q.take(l, p, n-1)
+			return id, true
+		}
+	}
+	return 0, false
 }
 
 func (q *Queue) dropIf(match func(Job) bool) []Job {
 	var dropped []Job
-	for i := range q.classes {
-		c := &q.classes[i]
-		for team, l := range c.lines {
-			for k := len(l.jobs) - 1; k >= 0; k-- {
-				if match(l.jobs[k]) {
-					dropped = append(dropped, l.jobs[k])
-					q.take(c, team, k)
+	for _, l := range q.lines {
+		for p := range l.jobs {
+			for k := len(l.jobs[p]) - 1; k >= 0; k-- {
+				if match(l.jobs[p][k]) {
+					dropped = append(dropped, l.jobs[p][k])
+					q.take(l, p, k)
 				}
 			}
 		}
--- a/rigs/trial.go
+++ b/rigs/trial.go
@@ -19,7 +19,8 @@
 // NewCmdTrial returns the `standin trial` command.
 func NewCmdTrial(s cmdkit.Streams) *cobra.Command {
 	cmd := &cobra.Command{Use: "trial COMMAND", Short: "Measure the decision packages on scripted faults, without I/O"}
-	cmd.AddCommand(newCmdTrial(s, "detect", "Compare the detectors", detectRun), newCmdTrial(s, "rate", "Compare the ways of limiting a team's rate", rateRun))
+	cmd.AddCommand(newCmdTrial(s, "detect", "Compare the detectors", detectRun), newCmdTrial(s, "rate", "Compare the ways of limiting a team's rate", rateRun),
+		newCmdTrial(s, "fair", "Compare the ways of sharing a full target", fairRun))
 	return cmd
 }
 
@@ -105,3 +106,24 @@
 	head := []string{"pattern", "way", "sent", "wrongly_refused", "worst_team", "over", "draws_per_request", "waited", "waited_far"}
 	return opts.Streams.Table(head, rows)
 }
+
+// fairRun prints a row for each way and seed.
+func fairRun(opts *TrialOptions) error {
+	ways := []struct {
+		name string
+		make func() trial.Line
+	}{{"order of arrival", trial.NewFirstCome}, {"shared by team and priority", trial.NewShared}}
+	var rows [][]string
+	for _, w := range ways {
+		for i := range opts.Seeds {
+			r := trial.Fair(w.make(), opts.Seed+uint64(i))
+			rows = append(rows, []string{
+				w.name, fmt.Sprint(opts.Seed + uint64(i)), fmt.Sprintf("%.2f", r.WorstTeam),
+				fmt.Sprintf("%.2f / %.2f / %.2f", r.Served[2], r.Served[1], r.Served[0]),
+				fmt.Sprintf("%d / %d / %d", r.Wait[2], r.Wait[1], r.Wait[0]),
+			})
+		}
+	}
+	head := []string{"way", "seed", "worst_team", "served high / normal / low", "wait_ms high / normal / low"}
+	return opts.Streams.Table(head, rows)
+}
