--- a/member/probe.go
+++ b/member/probe.go
@@ -160,11 +160,25 @@
 		m.Members = append(m.Members, v.fresh()...)
 	}
 	if m.Kind == MessagePing || m.Kind == MessageAck {
-		m.Vitals = v.vitals
+		m.Vitals = v.nextVitals()
 	}
 	return Send{To: to, Message: m}
 }
 
+// nextVitals returns some of the vitals, in turn.
+func (v *View) nextVitals() []Vital {
+	n := len(v.vitals)
+	if n <= vitalsPerMessage {
+		return v.vitals
+	}
+	out := make([]Vital, 0, vitalsPerMessage)
+	for range vitalsPerMessage {
+		v.vitalsTurn = (v.vitalsTurn + 1) % n
+		out = append(out, v.vitals[v.vitalsTurn])
+	}
+	return out
+}
+
 // fresh returns the records passed on least often so far.
 func (v *View) fresh() []*Member {
 	limit := spreadFactor * digits(len(v.members))
--- a/member/view.go
+++ b/member/view.go
@@ -20,6 +20,8 @@
 	spreadFactor = 3
 	// maxSpread bounds the records in one probe.
 	maxSpread = 4
+	// vitalsPerMessage bounds the vitals in one probe.
+	vitalsPerMessage = 4
 )
 
 // known is a member with what this daemon knows of it locally.
@@ -68,6 +70,9 @@
 	nextProbe  clock.Millis
 	nextDigest clock.Millis
 	nextReport clock.Millis
+	nextScan   clock.Millis
+	// vitalsTurn is the first of the vitals to tell next.
+	vitalsTurn int
 }
 
 // New returns a view that knows only its own daemon.
@@ -79,7 +84,7 @@
 		relays:  map[uint64]relay{},
 		spread:  map[ident.Instance]int{},
 	}
-	v.store(&self, now)
+	v.store(&self, now, true)
 	return v
 }
 
@@ -135,7 +140,7 @@
 	fn(&next)
 	next.Version++
 	v.self = &next
-	v.store(v.self, now)
+	v.store(v.self, now, true)
 	return []Effect{Changed{Member: v.self}}
 }
 
@@ -150,13 +155,16 @@
 
 // Join adds records from the first contact.
 func (v *View) Join(now clock.Millis, members []*Member) []Effect {
-	return v.merge(now, members)
+	return v.merge(now, members, false)
 }
 
 // Tick does what is due: probes, time-outs, digests and forgetting.
 func (v *View) Tick(now clock.Millis) []Effect {
 	effects := v.checkProbes(now)
-	effects = append(effects, v.checkSuspects(now)...)
+	if now >= v.nextScan {
+		v.nextScan = now + v.cfg.ProbeEvery
+		effects = append(effects, v.checkSuspects(now)...)
+	}
 	if now >= v.nextProbe {
 		v.nextProbe = now + v.cfg.ProbeEvery
 		effects = append(effects, v.probeNext(now)...)
@@ -177,7 +185,8 @@
 	if m.Sender == v.self.Instance {
 		return nil
 	}
-	effects := v.merge(now, m.Members)
+	// Records that mend a difference are known elsewhere; only news spreads.
+	effects := v.merge(now, m.Members, m.Kind != MessageMembers)
 	effects = append(effects, v.hear(now, m)...)
 	switch m.Kind {
 	case MessagePing:
@@ -209,7 +218,7 @@
 }
 
 // merge takes in records that are newer than the known ones.
-func (v *View) merge(now clock.Millis, members []*Member) []Effect {
+func (v *View) merge(now clock.Millis, members []*Member, spread bool) []Effect {
 	var effects []Effect
 	for _, m := range members {
 		if m.Instance == v.self.Instance {
@@ -223,7 +232,7 @@
 		if k != nil && !m.Newer(k.member) {
 			continue
 		}
-		v.store(m, now)
+		v.store(m, now, spread)
 		effects = append(effects, Changed{Member: m})
 	}
 	return effects
@@ -240,8 +249,9 @@
 	return v.Update(now, func(s *Member) { s.Version = m.Version })
 }
 
-// store puts a record into the view and marks it for spreading.
-func (v *View) store(m *Member, now clock.Millis) {
+// store puts a record into the view and, if it is news, marks it for
+// spreading.
+func (v *View) store(m *Member, now clock.Millis, spread bool) {
 	k := v.members[m.Instance]
 	if k == nil {
 		k = &known{heard: now}
@@ -254,7 +264,9 @@
 	}
 	k.member = m
 	k.since = now
-	v.spread[m.Instance] = 0
+	if spread {
+		v.spread[m.Instance] = 0
+	}
 }
 
 func (v *View) insertOrder(id ident.Instance) {
@@ -268,7 +280,7 @@
 func (v *View) setStatus(now clock.Millis, id ident.Instance, s Status) []Effect {
 	next := *v.members[id].member
 	next.Status = s
-	v.store(&next, now)
+	v.store(&next, now, true)
 	return []Effect{Changed{Member: &next}}
 }
 
