Refuse stray bytes on connections to targets

A resting connection that holds bytes nobody asked for, or was closed, is replaced before use. Found by a random test against scripted targets: a second answer behind the first was given to the next request. Seen failing without either half of the check (buffered bytes, bytes in the socket).

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chestnutlatch/clock"
+	"chestnutlatch/sock"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
@@ -73,13 +74,25 @@
 	return &connPool{address: address, clk: clk}
 }
 
-// get returns the newest idle connection that did not rest too long, or a new
-// one.
+// get returns the newest idle connection that is fit for another exchange, or
+// a new one.
 func (p *connPool) get(ctx context.Context) (*targetConn, error) {
-	if c := p.pop(); c != nil {
-		return c, nil
+	for {
+		c := p.pop()
+		if c == nil {
+			return p.dial(ctx)
+		}
+		if c.isFit() {
+			return c, nil
+		}
+		_ = c.Close()
 	}
-	return p.dial(ctx)
+}
+
+// isFit reports whether nothing came over the resting connection. Bytes that
+// nobody asked for belong to no request; the next answer would be mistaken.
+func (c *targetConn) isFit() bool {
+	return c.r.Buffered() == 0 && sock.Look(c.Conn) == sock.Quiet
 }
 
 func (p *connPool) pop() *targetConn {
