--- a/config/log.go
+++ b/config/log.go
@@ -200,6 +200,10 @@
 	if err != nil {
 		return c, err
 	}
+	if len(value) > store.MaxValueBytes {
+		return c, errors.Errorf("change of %d bytes is over the store's limit of %d: split it into smaller ones",
+			len(value), store.MaxValueBytes)
+	}
 	key := LogKey(c.Revision)
 	_, err = st.Swap(ctx, key, store.Absent, value, store.NoLease)
 	if err == nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,6 +39,9 @@
 	secretBytes     = 32
 	// clockError bounds the drift of two clocks over one rate lease.
 	clockError = clock.Minute
+	// hardBodyFactor times max_request_bytes is what is read of a body that is
+	// too large, so that its sender gets an answer and not a reset.
+	hardBodyFactor = 4
 	// pauseLimit is the gap after which a daemon counts as paused.
 	pauseLimit = 3 * clock.Second
 )
@@ -148,6 +151,7 @@
 		Clock: d.clk, Log: d.log.Named("entry"), Meter: d.meter,
 		Table: d.table, Picker: d.picker, Purse: d.purse, Guard: d.guard,
 		Peers: d.peers, Fleet: d.members, Drawer: d.slots, Pool: d.pool,
+		MaxBody: d.cfg.MaxRequestBytes,
 	})
 }
 
@@ -157,7 +161,7 @@
 		ErrorHandler:          d.entry.OnError,
 		Name:                  "chestnutlatch",
 		NoDefaultServerHeader: true,
-		MaxRequestBodySize:    d.cfg.MaxRequestBytes,
+		MaxRequestBodySize:    hardBodyFactor * d.cfg.MaxRequestBytes,
 		ReadTimeout:           d.cfg.ReadTimeout.Duration(),
 		IdleTimeout:           time.Minute,
 		Concurrency:           d.cfg.MaxCallers,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,6 +59,8 @@
 	Fleet       Fleet
 	Drawer      Drawer
 	Pool        *ants.Pool
+	// MaxBody bounds the body of a request, in bytes.
+	MaxBody int
 }
 
 // Entry serves callers. It is safe for concurrent use.
@@ -114,6 +116,10 @@
 func (e *Entry) admit(c *fasthttp.RequestCtx) (*request, *fault.Refusal) {
 	now := e.Clock.Now()
 	ticket := string(c.Request.Header.Peek(ticketHeader))
+	if n := len(c.PostBody()); n > e.MaxBody {
+		return nil, certainOnlyWithout(ticket, fault.NotRun(fault.TooLarge,
+			"request body has %d bytes, max_request_bytes is %d: send less", n, e.MaxBody))
+	}
 	route, team, refusal := e.authorize(c, string(c.Path()), now)
 	if refusal != nil {
 		return nil, certainOnlyWithout(ticket, refusal)
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,293 @@
+package entry
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/panjf2000/ants/v2"
+	"github.com/valyala/fasthttp"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"chestnutlatch/choose"
+	"chestnutlatch/clock"
+	"chestnutlatch/fault"
+	"chestnutlatch/guard"
+	"chestnutlatch/health"
+	"chestnutlatch/ident"
+	"chestnutlatch/limit"
+	"chestnutlatch/meter"
+	"chestnutlatch/once"
+	"chestnutlatch/peers"
+	"chestnutlatch/record"
+	"chestnutlatch/table"
+	"chestnutlatch/wire"
+)
+
+// lone is a fleet of one daemon whose rate never runs out.
+type lone struct {
+	untrusted bool
+	empty     bool
+}
+
+func (*lone) Locate(ident.Instance) (string, ident.Incarnation, bool) { return "self", 1, true }
+
+func (*lone) Relays(int, ident.Instance) []string { return nil }
+
+func (*lone) SlotHolder(limit.Slot) (ident.Instance, string, bool) { return "i", "self", true }
+
+func (l *lone) Trust(clock.Millis) *fault.Refusal {
+	if l.untrusted {
+		return fault.NotRun(fault.NotReady, "cut off")
+	}
+	return nil
+}
+
+func (l *lone) Draw(req *wire.DrawRequest) *wire.DrawReply {
+	g := &wire.GrantItem{Team: req.GetItems()[0].GetTeam(), Tokens: 1000, TtlMs: 60_000, Rich: true}
+	if l.empty {
+		g = &wire.GrantItem{Team: g.GetTeam()}
+	}
+	return &wire.DrawReply{HoldsSlot: true, Items: []*wire.GrantItem{g}}
+}
+
+func (*lone) Peers(clock.Millis, ident.Service, ident.Target) health.Peers { return health.Peers{} }
+
+// site is an entry with two local targets.
+type site struct {
+	*Entry
+	fleet *lone
+	// hits counts the requests of each target.
+	hits [2]atomic.Int64
+	// seen is the last request that a target got.
+	seen atomic.Value
+}
+
+func newSite(t testing.TB, answers [2]string) *site {
+	t.Helper()
+	s := &site{fleet: &lone{}}
+	pool, err := ants.NewPool(256)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pool.Release)
+	clk := clock.NewSystem()
+	home := once.New(once.Config{Instance: "i", Incarnation: 1, Secret: []byte("s"), TTL: clock.Minute, MaxOpen: 1000, MaxKeptBytes: 1 << 20})
+	g := guard.New(guard.Config{QueueLimit: 64, MaxAnswerBytes: 1 << 20}, clk, hclog.NewNullLogger(), s.fleet, pool, home)
+	picker := choose.New("dc", "r", 1)
+	for i, a := range answers {
+		id := ident.Target([]string{"t0", "t1"}[i])
+		g.Add(guard.Spec{ID: id, Service: "svc", Address: s.target(t, i, a), Slots: 64})
+		picker.Put("svc", choose.Candidate{Target: id, Instance: "i", DataCentre: "dc", Region: "r", Slots: 64, Up: true})
+	}
+	s.Entry = New(Deps{
+		Instance: "i", Incarnation: 1, Clock: clk, Log: hclog.NewNullLogger(), Meter: meter.New(), Table: testTable(t),
+		Picker: picker, Purse: limit.NewPurse(3, func(limit.Slot) int { return 0 }), Guard: g,
+		Peers: peers.New(insecure.NewCredentials(), "secret"), Fleet: s.fleet, Drawer: s.fleet, Pool: pool, MaxBody: 1000,
+	})
+	return s
+}
+
+func (s *site) target(t testing.TB, i int, answer string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					s.hits[i].Add(1)
+					s.seen.Store(req)
+					if _, err := c.Write([]byte(answer)); err != nil || !strings.Contains(answer, "Content-Length") {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func testTable(t testing.TB) *table.Table {
+	t.Helper()
+	bodies := []record.Body{
+		record.Team{ID: "team", Rate: 1000, Burst: 1000, Weight: 1},
+		record.Key{ID: "k", Team: "team", Hash: sha256.Sum256([]byte("secret-key"))},
+		record.Route{ID: "look", Prefix: "/look", Service: "svc", Timeout: 2000, Priority: ident.PriorityLow},
+		record.Route{ID: "act", Prefix: "/act", Service: "svc", Timeout: 2000, OneTime: true},
+		record.Route{ID: "bare", Prefix: "/bare", Service: "none", Timeout: 2000},
+	}
+	var items []record.Item
+	for _, b := range bodies {
+		raw, err := record.Encode(b, record.SchemaCurrent, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		items = append(items, record.Item{Kind: record.KindOf(b), ID: record.IDOf(b), After: raw})
+	}
+	change, err := record.EncodeChange(record.Change{Revision: 1, Items: items})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tb := table.New()
+	if err := tb.Apply(change); err != nil {
+		t.Fatal(err)
+	}
+	return tb
+}
+
+const (
+	good  = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
+	bad   = "HTTP/1.1 500 Oops\r\nContent-Length: 3\r\n\r\nbad"
+	blank = ""
+)
+
+func (s *site) do(method, path string, headers map[string]string, body string) (int, string, string) {
+	var c fasthttp.RequestCtx
+	c.Request.Header.SetMethod(method)
+	c.Request.SetRequestURI(path)
+	c.Request.Header.Set("Host", "any.example")
+	for k, v := range headers {
+		c.Request.Header.Set(k, v)
+	}
+	c.Request.SetBodyString(body)
+	s.Handle(&c)
+	var p struct{ Kind, Outcome string }
+	_ = json.Unmarshal(c.Response.Body(), &p)
+	return c.Response.StatusCode(), p.Kind, p.Outcome
+}
+
+func keyed(more ...string) map[string]string {
+	h := map[string]string{"Authorization": "Bearer secret-key"}
+	for i := 0; i+1 < len(more); i += 2 {
+		h[more[i]] = more[i+1]
+	}
+	return h
+}
+
+func TestLookupIsTriedElsewhere(t *testing.T) {
+	for name, answer := range map[string]string{"server error": bad, "no answer": blank} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, [2]string{answer, good})
+			served := 0
+			for range 10 {
+				if status, _, _ := s.do("GET", "/look", keyed(), ""); status == 200 {
+					served++
+				}
+			}
+			first, second := s.hits[0].Load(), s.hits[1].Load()
+			if first == 0 || first+second > 10+3 {
+				t.Errorf("targets got %d and %d requests for 10 look-ups: the retry budget allows 3 more", first, second)
+			}
+			if served < int(second) {
+				t.Errorf("%d served, the good target answered %d", served, second)
+			}
+		})
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	tests := []struct {
+		name    string
+		method  string
+		path    string
+		headers map[string]string
+		body    string
+		prepare func(*site)
+		status  int
+		kind    string
+		outcome string
+	}{
+		{"over rate", "GET", "/look", keyed(), "", func(s *site) { s.fleet.empty = true }, 429, "over_rate", "not_run"},
+		{"cut off", "GET", "/look", keyed(), "", func(s *site) { s.fleet.untrusted = true }, 503, "not_ready", "not_run"},
+		{"cut off with a ticket", "POST", "/act", keyed("Idempotency-Key", "t1~i~1~1~1~x"), "", func(s *site) { s.fleet.untrusted = true }, 503, "not_ready", "unknown"},
+		{"no target", "GET", "/bare", keyed(), "", nil, 503, "no_capacity", "not_run"},
+		{"large body", "POST", "/look", keyed(), strings.Repeat("x", 1001), nil, 413, "too_large", "not_run"},
+		{"large body with a ticket", "POST", "/act", keyed("Idempotency-Key", "t1~i~1~1~1~x"), strings.Repeat("x", 1001), nil, 413, "too_large", "unknown"},
+		{"draining", "GET", "/look", keyed(), "", func(s *site) { s.Guard.Drain() }, 503, "draining", "not_run"},
+		{"forged ticket", "POST", "/act", keyed("Idempotency-Key", "t1~i~1~1~1~x"), "", nil, 400, "ticket_invalid", "unknown"},
+		{"ticket of an earlier life", "POST", "/act", keyed("Idempotency-Key", "t1~i~0~1~1~x"), "", nil, 503, "home_gone", "unknown"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSite(t, [2]string{good, good})
+			if tt.prepare != nil {
+				tt.prepare(s)
+			}
+			status, kind, outcome := s.do(tt.method, tt.path, tt.headers, tt.body)
+			if status != tt.status || kind != tt.kind || outcome != tt.outcome {
+				t.Errorf("got %d %s %s, want %d %s %s", status, kind, outcome, tt.status, tt.kind, tt.outcome)
+			}
+		})
+	}
+}
+
+// TestOverRateVoidsTheTicket refuses an action over its rate as not run; a
+// delayed copy of it must not run afterwards.
+func TestOverRateVoidsTheTicket(t *testing.T) {
+	s := newSite(t, [2]string{good, good})
+	tickets, r := s.Guard.Tickets("team", "svc", 1)
+	if r != nil {
+		t.Fatal(r)
+	}
+	headers := keyed("Idempotency-Key", tickets[0])
+	s.fleet.empty = true
+	if _, kind, outcome := s.do("POST", "/act", headers, ""); kind != "over_rate" || outcome != "not_run" {
+		t.Fatalf("got %s %s, want over_rate not_run", kind, outcome)
+	}
+	s.fleet.empty = false
+	if _, kind, outcome := s.do("POST", "/act", headers, ""); kind != "ticket_void" || outcome != "not_run" {
+		t.Errorf("the delayed copy got %s %s, want ticket_void not_run", kind, outcome)
+	}
+	if n := s.hits[0].Load() + s.hits[1].Load(); n != 0 {
+		t.Errorf("targets ran %d actions", n)
+	}
+}
+
+func TestTargetSeesTeamAndNoKey(t *testing.T) {
+	s := newSite(t, [2]string{good, good})
+	s.do("GET", "/look", keyed("X-Team", "rival", "X-Copy", "secret-key", "Idempotency-Key", "x", "X-Kept", "yes"), "")
+	req, _ := s.seen.Load().(*http.Request)
+	if req == nil {
+		t.Fatal("no request arrived")
+	}
+	if req.Header.Get("X-Team") != "team" || req.Header.Get("X-Kept") != "yes" || req.Header.Get("X-Request-Timeout") == "" {
+		t.Errorf("headers are %v", req.Header)
+	}
+	for name, values := range req.Header {
+		if name == "Authorization" || name == "Idempotency-Key" || strings.Contains(strings.Join(values, " "), "secret-key") {
+			t.Errorf("target saw %s: %v", name, values)
+		}
+	}
+}
+
+// BenchmarkHandle measures one look-up through entry, guard and a target on
+// loopback, without the hop between daemons.
+func BenchmarkHandle(b *testing.B) {
+	s := newSite(b, [2]string{good, good})
+	b.ReportAllocs()
+	for range b.N {
+		if status, kind, _ := s.do("GET", "/look", keyed(), ""); status != 200 {
+			b.Fatal(status, kind)
+		}
+	}
+}
