Load the configuration as a stream

Cause: a daemon folded the whole configuration in maps before it built its table, and decoded each record's unknown fields by writing it again. Ruled out: the arenas, which hold 20 MiB.

--- a/choose/picker_test.go
+++ b/choose/picker_test.go
@@ -15,7 +15,6 @@
 // model is what the oracle knows of a target.
 type model struct {
 	c       Candidate
-	sick    bool
 	drained bool
 }
 
@@ -24,7 +23,6 @@
 	p       *Picker
 	now     clock.Millis
 	targets map[ident.Target]*model
-	bad     map[ident.Instance]clock.Millis
 	floor   uint32
 }
 
--- a/config/snap.go
+++ b/config/snap.go
@@ -81,24 +81,51 @@
 }
 
 func loadSnapshot(ctx context.Context, st store.Store) (*State, error) {
+	s := NewState()
+	rev, err := Stream(ctx, st, func(it Item) error {
+		s.items[itemKey{it.Kind, it.ID}] = it
+		return nil
+	})
+	s.Revision = rev
+	return s, err
+}
+
+// Stream reads the newest snapshot and calls fn for each of its records,
+// without holding them all. It returns the snapshot's revision, 0 if there is
+// none.
+func Stream(ctx context.Context, st store.Store, fn func(Item) error) (ident.Revision, error) {
 	h, _, err := readHead(ctx, st)
-	if err != nil {
-		return nil, err
+	if err != nil || h.Chunks == 0 {
+		return 0, err
 	}
-	s := NewState()
-	s.Revision = h.Revision
-	var packed bytes.Buffer
-	for i := range h.Chunks {
-		e, err := st.Get(ctx, snapChunkKey(h.Revision, i))
+	return h.Revision, unpack(&chunkReader{ctx: ctx, st: st, head: h}, fn)
+}
+
+// chunkReader reads the chunks of a snapshot one after another.
+type chunkReader struct {
+	ctx  context.Context
+	st   store.Store
+	head snapHead
+	next int
+	rest []byte
+}
+
+// Read implements io.Reader.
+func (r *chunkReader) Read(b []byte) (int, error) {
+	for len(r.rest) == 0 {
+		if r.next == r.head.Chunks {
+			return 0, io.EOF
+		}
+		e, err := r.st.Get(r.ctx, snapChunkKey(r.head.Revision, r.next))
 		if err != nil {
-			return nil, errors.Wrapf(err, "snapshot %d chunk %d", h.Revision, i)
+			return 0, errors.Wrapf(err, "snapshot %d chunk %d", r.head.Revision, r.next)
 		}
-		packed.Write(e.Value)
+		r.next++
+		r.rest = e.Value
 	}
-	if h.Chunks == 0 {
-		return s, nil
-	}
-	return s, unpackState(&packed, s)
+	n := copy(b, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
 }
 
 func packState(s *State) ([][]byte, error) {
@@ -122,7 +149,7 @@
 	return chunks, nil
 }
 
-func unpackState(r io.Reader, s *State) error {
+func unpack(r io.Reader, fn func(Item) error) error {
 	zr, err := gzip.NewReader(r)
 	if err != nil {
 		return errors.Wrap(err, "decompress snapshot")
@@ -137,6 +164,8 @@
 		if err != nil {
 			return errors.Wrap(err, "decode snapshot")
 		}
-		s.items[itemKey{it.Kind, it.ID}] = it
+		if err := fn(it); err != nil {
+			return err
+		}
 	}
 }
--- a/daemon/syncer.go
+++ b/daemon/syncer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,8 @@
 	// loadTimeout bounds the reading of a whole configuration.
 	loadTimeout = 30 * time.Second
 	pullTimeout = 2 * time.Second
+	// logPage is the number of log entries read in one call.
+	logPage = 16
 	// hintDepth is the number of peers remembered to pull from.
 	hintDepth = 16
 	// contactEvery is the time between two readings of the first contacts by
@@ -141,20 +144,48 @@
 func (s *syncer) loadFromStore(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	state, err := config.Load(ctx, s.d.store)
+	b := table.NewBuilder()
+	rev, err := config.Stream(ctx, s.d.store, b.AddItem)
 	if err != nil {
 		s.d.log.Warn("configuration not loaded from the store", "error", err)
 		return false
 	}
-	s.touched()
-	b := table.NewBuilder()
-	b.AddState(state)
-	if s.d.table.Install(b) {
-		s.inForce("store")
+	b.SetRevision(rev)
+	s.d.table.Install(b)
+	if err := s.readLog(ctx); err != nil {
+		s.d.log.Warn("changes not loaded from the store", "error", err)
+		return false
 	}
+	s.loaded("store")
 	return true
 }
 
+// loaded returns what the loading left over to the system: the memory that a
+// daemon may hold is small.
+func (s *syncer) loaded(from string) {
+	debug.FreeOSMemory()
+	s.inForce(from)
+}
+
+// readLog applies the changes behind the table's revision.
+func (s *syncer) readLog(ctx context.Context) error {
+	for {
+		entries, _, err := s.d.store.List(ctx, config.LogPrefix, config.LogKey(s.d.table.Revision()), logPage)
+		if err != nil {
+			return err
+		}
+		s.touched()
+		for _, e := range entries {
+			if err := s.d.table.Apply(e.Value); err != nil {
+				return err
+			}
+		}
+		if len(entries) < logPage {
+			return nil
+		}
+	}
+}
+
 // snapshotFromPeers takes the configuration from the first peer that has one.
 func (s *syncer) snapshotFromPeers(ctx context.Context) bool {
 	for _, r := range s.d.members.list() {
@@ -195,7 +226,7 @@
 	if !s.d.table.Install(b) {
 		return errors.New("peer's configuration is not newer")
 	}
-	s.inForce(address)
+	s.loaded(address)
 	return nil
 }
 
--- a/record/json.go
+++ b/record/json.go
@@ -278,6 +278,49 @@
 	}{schema, matchJSON{r.Host, r.Prefix}, r.Service, r.Priority, action, access, int64(r.Timeout)}
 }
 
+// knownFields holds the field names that this program writes, by schema and
+// kind.
+var knownFields = makeKnownFields()
+
+func makeKnownFields() map[Schema]map[Kind]map[string]bool {
+	out := map[Schema]map[Kind]map[string]bool{}
+	for _, schema := range []Schema{SchemaFirst, SchemaCurrent} {
+		out[schema] = map[Kind]map[string]bool{}
+		for _, b := range []Body{Team{}, Key{}, Route{}, Target{}, Service{}} {
+			names := map[string]bool{}
+			var fields map[string]json.RawMessage
+			// The program's own types always encode and decode.
+			raw, _ := json.Marshal(encodeBody(b, schema))
+			_ = json.Unmarshal(raw, &fields)
+			for name := range fields {
+				names[name] = true
+			}
+			out[schema][KindOf(b)] = names
+		}
+	}
+	return out
+}
+
+// HasUnknown reports whether a stored record has fields that this program does
+// not write.
+func HasUnknown(k Kind, raw json.RawMessage) bool {
+	schema, err := SchemaOf(raw)
+	if err != nil {
+		return false
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return false
+	}
+	known := knownFields[schema][k]
+	for name := range fields {
+		if !known[name] {
+			return true
+		}
+	}
+	return false
+}
+
 // Merge lays the fields of fresh over those of old. Fields that only old has
 // stay. The result has its fields in sorted order.
 func Merge(old, fresh json.RawMessage) (json.RawMessage, error) {
--- a/table/snap.go
+++ b/table/snap.go
@@ -86,17 +86,16 @@
 	return nil
 }
 
-// AddState reads the folded configuration from the store. Records that cannot
-// be read are left out and counted.
-func (b *Builder) AddState(s *config.State) {
-	for k := record.KindTeam; k <= record.KindService; k++ {
-		for _, it := range s.List(k) {
-			b.table.applyItem(record.Item{Kind: k, ID: it.ID, After: it.Record})
-		}
-	}
-	b.rev = s.Revision
+// AddItem reads one record of the store's snapshot. A record that cannot be
+// read is left out and counted.
+func (b *Builder) AddItem(it config.Item) error {
+	b.table.applyItem(record.Item{Kind: it.Kind, ID: it.ID, After: it.Record})
+	return nil
 }
 
+// SetRevision sets the revision of the records added so far.
+func (b *Builder) SetRevision(rev ident.Revision) { b.rev = rev }
+
 // Install puts the collected snapshot in force if it is newer than the
 // table's revision, and reports whether it did.
 func (t *Table) Install(b *Builder) bool {
--- a/table/table.go
+++ b/table/table.go
@@ -141,15 +141,10 @@
 
 // extra returns raw if it has fields that this program does not know.
 func extra(body record.Body, raw []byte) []byte {
-	schema, err := record.SchemaOf(raw)
-	if err != nil {
-		return nil
+	if record.HasUnknown(record.KindOf(body), raw) {
+		return raw
 	}
-	known, err := record.Encode(body, schema, nil)
-	if err != nil || strings.Count(string(raw), ":") <= strings.Count(string(known), ":") {
-		return nil
-	}
-	return raw
+	return nil
 }
 
 func (t *Table) insert(body record.Body, raw []byte) {
