--- a/admin/audit/audit.go
+++ b/admin/audit/audit.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/config"
 	"chestnutlatch/record"
-
-	"github.com/go-faster/errors"
-	"github.com/spf13/cobra"
 )
 
 // Options are the dependencies and flags of `audit`.
--- a/admin/config/apply.go
+++ b/admin/config/apply.go
@@ -6,11 +6,11 @@
 	"io"
 	"os"
 
-	"chestnutlatch/cmdkit"
-	"chestnutlatch/record"
-
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
+
+	"chestnutlatch/cmdkit"
+	"chestnutlatch/record"
 )
 
 // ApplyOptions are the dependencies and flags of `config apply`.
--- a/admin/config/check.go
+++ b/admin/config/check.go
@@ -1,10 +1,10 @@
 package config
 
 import (
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/setup"
-
-	"github.com/spf13/cobra"
 )
 
 // CheckOptions are the dependencies and flags of `config check`.
--- a/admin/config/config.go
+++ b/admin/config/config.go
@@ -2,9 +2,9 @@
 package config
 
 import (
-	"chestnutlatch/cmdkit"
-
 	"github.com/spf13/cobra"
+
+	"chestnutlatch/cmdkit"
 )
 
 // NewCmdConfig returns the `config` command.
--- a/admin/config/export.go
+++ b/admin/config/export.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/record"
-
-	"github.com/spf13/cobra"
 )
 
 // ExportOptions are the dependencies of `config export`.
--- a/admin/config/history.go
+++ b/admin/config/history.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"time"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/config"
 	"chestnutlatch/ident"
-
-	"github.com/spf13/cobra"
 )
 
 // HistoryOptions are the dependencies and flags of `config history`.
--- a/admin/config/snapshot.go
+++ b/admin/config/snapshot.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/config"
-
-	"github.com/spf13/cobra"
 )
 
 // SnapshotOptions are the dependencies of `config snapshot`.
--- a/admin/keys/issue.go
+++ b/admin/keys/issue.go
@@ -8,12 +8,12 @@
 	"encoding/hex"
 	"fmt"
 
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/ident"
 	"chestnutlatch/record"
-
-	"github.com/go-faster/errors"
-	"github.com/spf13/cobra"
 )
 
 const (
--- a/admin/keys/withdraw.go
+++ b/admin/keys/withdraw.go
@@ -1,10 +1,10 @@
 package keys
 
 import (
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/record"
-
-	"github.com/spf13/cobra"
 )
 
 func newCmdWithdraw(f *cmdkit.Factory) *cobra.Command {
--- a/admin/root.go
+++ b/admin/root.go
@@ -4,6 +4,8 @@
 import (
 	"os"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/admin/audit"
 	"chestnutlatch/admin/config"
 	"chestnutlatch/admin/keys"
@@ -14,8 +16,6 @@
 	"chestnutlatch/admin/target"
 	"chestnutlatch/admin/team"
 	"chestnutlatch/cmdkit"
-
-	"github.com/spf13/cobra"
 )
 
 // NewCmdRoot returns the program's root command.
--- a/admin/route/route.go
+++ b/admin/route/route.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"strconv"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/record"
-
-	"github.com/spf13/cobra"
 )
 
 var head = []string{"id", "host", "prefix", "service", "priority", "one_time", "open", "timeout_ms"}
--- a/admin/route/set.go
+++ b/admin/route/set.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/ident"
 	"chestnutlatch/record"
-
-	"github.com/spf13/cobra"
 )
 
 // SetOptions are the dependencies and flags of `route set`.
--- a/admin/serve/serve.go
+++ b/admin/serve/serve.go
@@ -7,14 +7,14 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/hashicorp/go-hclog"
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/daemon"
 	"chestnutlatch/setup"
 	"chestnutlatch/store"
-
-	"github.com/hashicorp/go-hclog"
-	"github.com/spf13/cobra"
 )
 
 // gcPercent trades some processor time for memory: a daemon's heap is mostly
--- a/admin/status/status.go
+++ b/admin/status/status.go
@@ -8,13 +8,13 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/config"
 	"chestnutlatch/daemon"
 	"chestnutlatch/ident"
-
-	"github.com/go-faster/errors"
-	"github.com/spf13/cobra"
 )
 
 const daemonTimeout = 5 * time.Second
--- a/admin/svc/service.go
+++ b/admin/svc/service.go
@@ -4,10 +4,10 @@
 import (
 	"fmt"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/record"
-
-	"github.com/spf13/cobra"
 )
 
 var head = []string{"id", "floor_percent"}
--- a/admin/svc/set.go
+++ b/admin/svc/set.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/ident"
 	"chestnutlatch/record"
-
-	"github.com/spf13/cobra"
 )
 
 // SetOptions are the dependencies and flags of `service set`.
--- a/admin/target/drain.go
+++ b/admin/target/drain.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/ident"
 	"chestnutlatch/record"
-
-	"github.com/spf13/cobra"
 )
 
 // DrainOptions are the dependencies and flags of `target drain` and `target
--- a/admin/target/get.go
+++ b/admin/target/get.go
@@ -1,10 +1,10 @@
 package target
 
 import (
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/record"
-
-	"github.com/spf13/cobra"
 )
 
 func newCmdGet(f *cmdkit.Factory) *cobra.Command {
--- a/admin/target/restore.go
+++ b/admin/target/restore.go
@@ -1,9 +1,9 @@
 package target
 
 import (
-	"chestnutlatch/cmdkit"
-
 	"github.com/spf13/cobra"
+
+	"chestnutlatch/cmdkit"
 )
 
 // NewCmdRestore returns the `target restore` command.
--- a/admin/target/target.go
+++ b/admin/target/target.go
@@ -4,10 +4,10 @@
 import (
 	"strconv"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/record"
-
-	"github.com/spf13/cobra"
 )
 
 var head = []string{"id", "drain"}
--- a/admin/team/list.go
+++ b/admin/team/list.go
@@ -1,10 +1,10 @@
 package team
 
 import (
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/record"
-
-	"github.com/spf13/cobra"
 )
 
 func newCmdList(f *cmdkit.Factory) *cobra.Command {
--- a/admin/team/set.go
+++ b/admin/team/set.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/ident"
 	"chestnutlatch/record"
-
-	"github.com/spf13/cobra"
 )
 
 // SetOptions are the dependencies and flags of `team set`.
--- a/admin/team/team.go
+++ b/admin/team/team.go
@@ -4,10 +4,10 @@
 import (
 	"fmt"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/record"
-
-	"github.com/spf13/cobra"
 )
 
 var head = []string{"id", "rate", "burst", "weight"}
--- a/cmd/chestnutlatch/main.go
+++ b/cmd/chestnutlatch/main.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"os"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/admin"
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/config"
-
-	"github.com/go-faster/errors"
 )
 
 // Exit codes of the program.
--- a/cmdkit/change.go
+++ b/cmdkit/change.go
@@ -7,15 +7,15 @@
 	"encoding/json"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/config"
 	"chestnutlatch/daemon"
 	"chestnutlatch/ident"
 	"chestnutlatch/record"
 	"chestnutlatch/store"
-
-	"github.com/go-faster/errors"
-	"github.com/spf13/cobra"
 )
 
 const (
--- a/cmdkit/factory.go
+++ b/cmdkit/factory.go
@@ -5,10 +5,10 @@
 	"os"
 	"os/user"
 
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/store"
-
-	"github.com/spf13/cobra"
 )
 
 // StoreEnv names the environment variable with the store's address.
--- a/cmdkit/read.go
+++ b/cmdkit/read.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 
-	"chestnutlatch/config"
-	"chestnutlatch/record"
-
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
+
+	"chestnutlatch/config"
+	"chestnutlatch/record"
 )
 
 // ReadOptions are the dependencies and flags of a reading command.
--- a/config/log.go
+++ b/config/log.go
@@ -10,11 +10,11 @@
 	"fmt"
 	"sort"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/ident"
 	"chestnutlatch/record"
 	"chestnutlatch/store"
-
-	"github.com/go-faster/errors"
 )
 
 // LogPrefix is the store prefix of the log.
--- a/config/snap.go
+++ b/config/snap.go
@@ -7,12 +7,12 @@
 	"fmt"
 	"io"
 
+	"github.com/go-faster/errors"
+	"github.com/klauspost/compress/gzip"
+
 	"chestnutlatch/ident"
 	"chestnutlatch/record"
 	"chestnutlatch/store"
-
-	"github.com/go-faster/errors"
-	"github.com/klauspost/compress/gzip"
 )
 
 const (
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,12 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/panjf2000/ants/v2"
+	"github.com/valyala/fasthttp"
+	"google.golang.org/grpc"
+
 	"chestnutlatch/choose"
 	"chestnutlatch/clock"
 	"chestnutlatch/entry"
@@ -23,12 +29,6 @@
 	"chestnutlatch/setup"
 	"chestnutlatch/store"
 	"chestnutlatch/table"
-
-	"github.com/go-faster/errors"
-	"github.com/hashicorp/go-hclog"
-	"github.com/panjf2000/ants/v2"
-	"github.com/valyala/fasthttp"
-	"google.golang.org/grpc"
 )
 
 const (
--- a/daemon/inner.go
+++ b/daemon/inner.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"chestnutlatch/entry"
 	"chestnutlatch/ident"
 	"chestnutlatch/wire"
-
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 )
 
 // innerServer serves the inner protocol.
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
 
 	"chestnutlatch/guard"
 	"chestnutlatch/ident"
-
-	"github.com/valyala/fasthttp"
 )
 
 // Status is a daemon's own view, for operators.
@@ -39,11 +41,18 @@
 	Slots   int               `json:"slots"`
 }
 
+// profilePath serves the runtime's profiles.
+const profilePath = "/debug/pprof/"
+
 // statusNames are the words for a member's status.
 var statusNames = [...]string{"alive", "suspect", "dead", "left"}
 
 // operate serves operators and announcing targets.
 func (d *Daemon) operate(c *fasthttp.RequestCtx) {
+	if strings.HasPrefix(string(c.Path()), profilePath) {
+		pprofhandler.PprofHandler(c)
+		return
+	}
 	switch string(c.Path()) {
 	case "/livez":
 		c.SetBodyString("ok\n")
--- a/daemon/report.go
+++ b/daemon/report.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
 	"chestnutlatch/member"
 	"chestnutlatch/store"
-
-	"github.com/go-faster/errors"
 )
 
 const (
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -7,14 +7,14 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
 	"chestnutlatch/limit"
 	"chestnutlatch/member"
 	"chestnutlatch/store"
 	"chestnutlatch/wire"
-
-	"github.com/go-faster/errors"
 )
 
 const (
--- a/daemon/syncer.go
+++ b/daemon/syncer.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/config"
 	"chestnutlatch/ident"
@@ -14,8 +16,6 @@
 	"chestnutlatch/store"
 	"chestnutlatch/table"
 	"chestnutlatch/wire"
-
-	"github.com/go-faster/errors"
 )
 
 const (
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -5,11 +5,11 @@
 	"crypto/x509"
 	"os"
 
-	"chestnutlatch/setup"
-
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+
+	"chestnutlatch/setup"
 )
 
 // innerCredentials returns mutual TLS for the inner protocol if the settings
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,10 @@
 	"context"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+	"github.com/panjf2000/ants/v2"
+	"github.com/valyala/fasthttp"
+
 	"chestnutlatch/choose"
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
@@ -18,10 +22,6 @@
 	"chestnutlatch/record"
 	"chestnutlatch/table"
 	"chestnutlatch/wire"
-
-	"github.com/hashicorp/go-hclog"
-	"github.com/panjf2000/ants/v2"
-	"github.com/valyala/fasthttp"
 )
 
 // Fleet is what an entry asks about the other daemons.
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 
+	"github.com/valyala/fasthttp"
+
 	"chestnutlatch/choose"
 	"chestnutlatch/fault"
 	"chestnutlatch/guard"
 	"chestnutlatch/ident"
 	"chestnutlatch/wire"
-
-	"github.com/valyala/fasthttp"
 )
 
 // maxAttempts bounds the attempts at one idempotent request.
--- a/entry/http.go
+++ b/entry/http.go
@@ -6,12 +6,12 @@
 	"strconv"
 	"strings"
 
+	"github.com/valyala/fasthttp"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/guard"
 	"chestnutlatch/wire"
-
-	"github.com/valyala/fasthttp"
 )
 
 const (
--- a/entry/link.go
+++ b/entry/link.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/choose"
 	"chestnutlatch/clock"
 	"chestnutlatch/guard"
@@ -12,8 +14,6 @@
 	"chestnutlatch/meter"
 	"chestnutlatch/peers"
 	"chestnutlatch/wire"
-
-	"github.com/go-faster/errors"
 )
 
 const (
--- a/entry/once.go
+++ b/entry/once.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 
+	"github.com/valyala/fasthttp"
+
 	"chestnutlatch/choose"
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
@@ -12,8 +14,6 @@
 	"chestnutlatch/once"
 	"chestnutlatch/record"
 	"chestnutlatch/wire"
-
-	"github.com/valyala/fasthttp"
 )
 
 const (
--- a/entry/rate.go
+++ b/entry/rate.go
@@ -4,14 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/ident"
 	"chestnutlatch/limit"
 	"chestnutlatch/record"
 	"chestnutlatch/wire"
-
-	"github.com/go-faster/errors"
 )
 
 // drawTimeout bounds one draw, so that another slot can be tried in time.
--- a/fleet/demo.go
+++ b/fleet/demo.go
@@ -5,10 +5,10 @@
 	"os"
 	"path/filepath"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/load"
 	"chestnutlatch/stand"
-
-	"github.com/go-faster/errors"
 )
 
 // Service names of the demonstration.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,9 +15,9 @@
 	"syscall"
 	"time"
 
-	"chestnutlatch/ident"
-
 	"github.com/go-faster/errors"
+
+	"chestnutlatch/ident"
 )
 
 // Spec describes a deployment.
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -8,11 +8,11 @@
 	"sync/atomic"
 	"time"
 
-	"chestnutlatch/clock"
-	"chestnutlatch/sock"
-
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
+
+	"chestnutlatch/clock"
+	"chestnutlatch/sock"
 )
 
 const (
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -9,6 +9,9 @@
 	"sort"
 	"sync"
 
+	"github.com/hashicorp/go-hclog"
+	"github.com/panjf2000/ants/v2"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/health"
@@ -16,9 +19,6 @@
 	"chestnutlatch/member"
 	"chestnutlatch/once"
 	"chestnutlatch/wire"
-
-	"github.com/hashicorp/go-hclog"
-	"github.com/panjf2000/ants/v2"
 )
 
 // announceLife is how long a target counts after its last announcement, in
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -5,15 +5,15 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/health"
 	"chestnutlatch/ident"
 	"chestnutlatch/queue"
 	"chestnutlatch/wire"
-
-	"github.com/go-faster/errors"
-	"github.com/valyala/fasthttp"
 )
 
 const (
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -3,10 +3,10 @@
 import (
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // bucketShards is the number of shards of an Allocator.
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -4,10 +4,10 @@
 	"sort"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Claim is a slot's record in the store.
--- a/limit/purse.go
+++ b/limit/purse.go
@@ -4,10 +4,10 @@
 	"sort"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
--- a/limit/split.go
+++ b/limit/split.go
@@ -9,10 +9,10 @@
 package limit
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Slot numbers one rate slot.
--- a/load/client.go
+++ b/load/client.go
@@ -6,9 +6,9 @@
 	"encoding/json"
 	"time"
 
-	"chestnutlatch/stand"
-
 	"github.com/valyala/fasthttp"
+
+	"chestnutlatch/stand"
 )
 
 // problem is the part of a refusal that a caller acts on.
--- a/member/codec.go
+++ b/member/codec.go
@@ -1,13 +1,13 @@
 package member
 
 import (
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
 	"chestnutlatch/health"
 	"chestnutlatch/ident"
 	"chestnutlatch/limit"
 	"chestnutlatch/wire"
-
-	"github.com/go-faster/errors"
-	"google.golang.org/protobuf/proto"
 )
 
 // Encode writes a message for a datagram.
--- a/member/digest.go
+++ b/member/digest.go
@@ -1,9 +1,9 @@
 package member
 
 import (
-	"chestnutlatch/ident"
-
 	"github.com/cespare/xxhash/v2"
+
+	"chestnutlatch/ident"
 )
 
 const (
--- a/member/view.go
+++ b/member/view.go
@@ -4,10 +4,10 @@
 	"math/rand/v2"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 
 	"chestnutlatch/clock"
@@ -377,3 +378,21 @@
 	}
 	return out
 }
+
+// BenchmarkMembers reports the memory of one member's record by their number.
+func BenchmarkMembers(b *testing.B) {
+	for _, size := range []int{263, 525, 1050, 2100} {
+		b.Run(fmt.Sprint("members=", size), func(b *testing.B) {
+			for range b.N {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				v := benchView(size, 117)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(v)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size), "B/member")
+			}
+		})
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"io"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"chestnutlatch/fault"
 	"chestnutlatch/ident"
-
-	"github.com/VictoriaMetrics/metrics"
 )
 
 // Meter counts what a daemon does. It is safe for concurrent use.
--- a/once/ticket.go
+++ b/once/ticket.go
@@ -12,10 +12,10 @@
 	"strconv"
 	"strings"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
-
-	"github.com/go-faster/errors"
 )
 
 const (
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -9,14 +9,14 @@
 	"sync"
 	"time"
 
-	"chestnutlatch/wire"
-
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
+
+	"chestnutlatch/wire"
 )
 
 const (
--- a/record/change.go
+++ b/record/change.go
@@ -3,10 +3,10 @@
 import (
 	"encoding/json"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
-
-	"github.com/go-faster/errors"
 )
 
 // Item is one record's part of a change.
--- a/record/compact.go
+++ b/record/compact.go
@@ -1,11 +1,11 @@
 package record
 
 import (
-	"chestnutlatch/clock"
-	"chestnutlatch/ident"
-
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"chestnutlatch/clock"
+	"chestnutlatch/ident"
 )
 
 // Field numbers of the compact form. Numbers are never reused.
--- a/record/json.go
+++ b/record/json.go
@@ -6,10 +6,10 @@
 	"encoding/json"
 	"sort"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
-
-	"github.com/go-faster/errors"
 )
 
 // SchemaError reports a record in a schema version that cannot be read.
--- a/rigs/demo.go
+++ b/rigs/demo.go
@@ -8,14 +8,14 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/fleet"
 	"chestnutlatch/ident"
 	"chestnutlatch/load"
 	"chestnutlatch/stand"
-
-	"github.com/go-faster/errors"
-	"github.com/spf13/cobra"
 )
 
 // DemoOptions are the flags of `standin demo`.
--- a/rigs/load.go
+++ b/rigs/load.go
@@ -9,12 +9,12 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/fleet"
 	"chestnutlatch/load"
-
-	"github.com/go-faster/errors"
-	"github.com/spf13/cobra"
 )
 
 // LoadOptions are the flags of `standin load`.
--- a/rigs/root.go
+++ b/rigs/root.go
@@ -2,9 +2,9 @@
 package rigs
 
 import (
-	"chestnutlatch/cmdkit"
-
 	"github.com/spf13/cobra"
+
+	"chestnutlatch/cmdkit"
 )
 
 // NewCmdRoot returns the stand-in program's root command.
--- a/rigs/store.go
+++ b/rigs/store.go
@@ -4,14 +4,14 @@
 	"encoding/json"
 	"net"
 
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+	"google.golang.org/grpc"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/kvapi"
 	"chestnutlatch/stand"
-
-	"github.com/spf13/cobra"
-	"github.com/valyala/fasthttp"
-	"google.golang.org/grpc"
 )
 
 // StoreOptions are the flags of `standin store`.
--- a/rigs/target.go
+++ b/rigs/target.go
@@ -6,15 +6,15 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/fleet"
 	"chestnutlatch/ident"
 	"chestnutlatch/stand"
-
-	"github.com/go-faster/errors"
-	"github.com/spf13/cobra"
-	"github.com/valyala/fasthttp"
 )
 
 // announceEvery is the time between two announcements.
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -9,12 +9,12 @@
 	"strconv"
 	"strings"
 
-	"chestnutlatch/clock"
-	"chestnutlatch/ident"
-
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 	"gopkg.in/ini.v1"
+
+	"chestnutlatch/clock"
+	"chestnutlatch/ident"
 )
 
 // targetPrefix starts the section name of a local target.
--- a/stand/memory.go
+++ b/stand/memory.go
@@ -9,10 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/store"
-
-	"github.com/go-faster/errors"
 )
 
 // errOutage is the cause of every call that fails by a switched fault.
--- a/stand/server.go
+++ b/stand/server.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 
-	"chestnutlatch/kvapi"
-	"chestnutlatch/store"
-
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+
+	"chestnutlatch/kvapi"
+	"chestnutlatch/store"
 )
 
 // StoreServer serves a Memory over the platform's protocol.
--- a/stand/target.go
+++ b/stand/target.go
@@ -10,10 +10,10 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
-
-	"github.com/valyala/fasthttp"
 )
 
 // ActionHeader names the action that a request runs, for counting.
--- a/store/client.go
+++ b/store/client.go
@@ -4,11 +4,11 @@
 	"context"
 	"io"
 
-	"chestnutlatch/kvapi"
-
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+
+	"chestnutlatch/kvapi"
 )
 
 // maxMessageBytes bounds one message; a page of a list holds many values.
--- a/table/table.go
+++ b/table/table.go
@@ -9,11 +9,11 @@
 	"sync"
 	"sync/atomic"
 
-	"chestnutlatch/ident"
-	"chestnutlatch/record"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
+
+	"chestnutlatch/ident"
+	"chestnutlatch/record"
 )
 
 // shardCount is the number of shards of each kind; a power of two.
