--- a/daemon/members.go
+++ b/daemon/members.go
@@ -259,6 +259,13 @@
 	m.carryOut(m.view.Leave(m.d.clk.Now()))
 }
 
+// dark returns the data centres that were not heard for long.
+func (m *members) dark(now clock.Millis) map[ident.DataCentre]bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.view.Dark(now)
+}
+
 // Locate implements entry.Fleet.
 func (m *members) Locate(id ident.Instance) (address string, inc ident.Incarnation, up bool) {
 	m.mu.RLock()
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -28,6 +28,15 @@
 	handOver = 10 * clock.Second
 )
 
+// LayoutKey is the store key of the number of rate slots. Daemons that count
+// them differently would grant a team's rate from different slots.
+const LayoutKey = "rate/layout"
+
+// layout is the record of the number of rate slots.
+type layout struct {
+	Slots int `json:"slots"`
+}
+
 // SlotKey returns the store key of a rate slot.
 func SlotKey(s limit.Slot) string {
 	return fmt.Sprintf("%s%05d", SlotPrefix, s)
@@ -42,6 +51,8 @@
 	// preferred holds the slots that the placement gives to this daemon.
 	preferred map[limit.Slot]bool
 	placed    clock.Millis
+	// agreed tells that the store's number of slots is this daemon's.
+	agreed bool
 	// astray is since when a held slot is placed elsewhere.
 	astray map[limit.Slot]clock.Millis
 }
@@ -106,12 +117,44 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			if !s.agreed && !s.agree(ctx) {
+				continue
+			}
 			s.place()
 			s.work(ctx)
 		}
 	}
 }
 
+// agree compares the number of slots with the store's, which the first daemon
+// of a fleet writes. A daemon that differs holds no slot.
+func (s *slots) agree(ctx context.Context) bool {
+	ctx, done := context.WithTimeout(ctx, storeTimeout)
+	defer done()
+	var l layout
+	e, err := s.d.store.Get(ctx, LayoutKey)
+	var missing *store.NotFoundError
+	if errors.As(err, &missing) {
+		value, err := json.Marshal(layout{Slots: s.d.cfg.RateSlots})
+		if err != nil {
+			return false
+		}
+		// Whoever wins, the next turn reads what stands there.
+		_, _ = s.d.store.Swap(ctx, LayoutKey, store.Absent, value, store.NoLease)
+		return false
+	}
+	if err != nil {
+		return false
+	}
+	if err := json.Unmarshal(e.Value, &l); err != nil || l.Slots != s.d.cfg.RateSlots {
+		s.d.log.Error("rate slots differ from the fleet's: set [rate] slots to the fleet's number and restart",
+			"setting", s.d.cfg.RateSlots, "fleet", l.Slots)
+		return false
+	}
+	s.agreed = true
+	return true
+}
+
 func (s *slots) beat(ctx context.Context) {
 	tick := time.NewTicker(slotTick / 4)
 	defer tick.Stop()
@@ -137,8 +180,9 @@
 		return
 	}
 	regions := map[ident.Region][]ident.Instance{}
+	dark := s.d.members.dark(now)
 	for _, m := range s.d.members.list() {
-		if m.Status == member.StatusAlive {
+		if m.Status == member.StatusAlive && !dark[m.DataCentre] {
 			regions[m.Region] = append(regions[m.Region], m.Instance)
 		}
 	}
--- a/daemon/syncer.go
+++ b/daemon/syncer.go
@@ -295,17 +295,20 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.endDemoted(ctx, cancel)
+	// Changes between this position and the end of the reading come twice;
+	// the table ignores those it has.
 	call, done := context.WithTimeout(ctx, storeTimeout)
-	entries, at, err := s.d.store.List(call, config.LogPrefix, config.LogKey(s.d.table.Revision()), 0)
+	_, at, err := s.d.store.List(call, config.LogPrefix, "", 1)
 	done()
 	if err != nil {
 		return err
 	}
-	s.touched()
-	for _, e := range entries {
-		if err := s.apply(e.Value); err != nil {
-			return err
-		}
+	before := s.d.table.Revision()
+	if err := s.readLog(ctx); err != nil {
+		return err
+	}
+	if s.d.table.Revision() != before {
+		s.inForce("store")
 	}
 	var failed error
 	err = s.d.store.Watch(ctx, config.LogPrefix, at, func(ev store.Event) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -305,6 +305,32 @@
 	}
 }
 
+// WaitSick waits until a daemon sees a target as sick, and returns how long it
+// took.
+func (f *Fleet) WaitSick(observer *Process, target ident.Target) (time.Duration, error) {
+	began := time.Now()
+	for time.Since(began) < readyTimeout {
+		var s struct {
+			Members []struct {
+				Targets []struct {
+					Target ident.Target `json:"target"`
+					State  string       `json:"state"`
+				} `json:"targets"`
+			} `json:"members"`
+		}
+		_, _ = GetJSON(observer.Control, "/v1/status", &s)
+		for _, m := range s.Members {
+			for _, t := range m.Targets {
+				if t.Target == target && t.State == ident.TargetSick.String() {
+					return time.Since(began), nil
+				}
+			}
+		}
+		time.Sleep(pollEvery)
+	}
+	return 0, errors.Errorf("%s does not see %s as sick after %s", observer.Name, target, readyTimeout)
+}
+
 // Operator runs an operator's command against the fleet's store.
 func (f *Fleet) Operator(args ...string) (string, error) {
 	cmd := exec.Command(filepath.Join(f.spec.Bin, "chestnutlatch"), append(args, "--store", f.Store.Address)...)
--- a/member/member.go
+++ b/member/member.go
@@ -162,6 +162,9 @@
 	// ReportEvery is the time between two pings to the reporters of the own
 	// data centre.
 	ReportEvery clock.Millis
+	// DarkAfter is the time without any word after which a data centre is
+	// dark. At full size each data centre is probed twice a minute.
+	DarkAfter clock.Millis
 	// ForgetAfter is the time a dead or left record is kept.
 	ForgetAfter clock.Millis
 }
@@ -174,6 +177,7 @@
 		SuspectFor:  2 * clock.Second,
 		DigestEvery: 5 * clock.Second,
 		ReportEvery: 4 * clock.Second,
+		DarkAfter:   3 * clock.Minute,
 		ForgetAfter: 10 * clock.Minute,
 	}
 }
--- a/member/view.go
+++ b/member/view.go
@@ -372,3 +372,20 @@
 func rankHash(id ident.Instance) uint64 {
 	return xxhash.Sum64String("rank/" + string(id))
 }
+
+// Dark returns the data centres, other than this one, of which no member was
+// heard for DarkAfter. Their members cannot be suspected from here; they are
+// given no new duties.
+func (v *View) Dark(now clock.Millis) map[ident.DataCentre]bool {
+	out := map[ident.DataCentre]bool{}
+	for _, k := range v.members {
+		dc := k.member.DataCentre
+		if _, known := out[dc]; !known {
+			out[dc] = dc != v.self.DataCentre
+		}
+		if now-k.heard < v.cfg.DarkAfter {
+			out[dc] = false
+		}
+	}
+	return out
+}
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -240,6 +240,26 @@
 				}
 			}
 		}},
+		{"a data centre that fails whole is dark, and lit again", func(t *testing.T, n *net) {
+			for _, i := range dc0 {
+				n.paused[i] = true
+			}
+			n.run(5 * clock.Minute)
+			for _, i := range others {
+				if d := n.views[i].Dark(n.now); !d["dc0"] || d["dc1"] || d["dc2"] {
+					t.Errorf("view %d finds dark %v", i, d)
+				}
+			}
+			for _, i := range dc0 {
+				n.paused[i] = false
+			}
+			n.run(2 * clock.Minute)
+			for i, v := range n.views {
+				if v.Dark(n.now)["dc0"] {
+					t.Errorf("view %d still finds it dark", i)
+				}
+			}
+		}},
 		{"both sides of a long cut meet again", func(t *testing.T, n *net) {
 			n.cutBetween([]int{0, 1}, []int{2, 3, 4, 5, 6, 7, 8, 9, 10, 11}, true)
 			n.run(120 * clock.Second)
--- a/rigs/demo.go
+++ b/rigs/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -159,7 +160,13 @@
 	if err := fleet.PutJSON(f.Targets[0].Control, "/faults", stand.TargetFaults{SlowFactor: 20, ErrorRate: 0.5}); err != nil {
 		return err
 	}
-	if !pause(ctx, third) {
+	began := time.Now()
+	took, err := f.WaitSick(f.Daemons[1], ident.Target("t-"+strings.TrimPrefix(f.Targets[0].Name, "target-")))
+	if err != nil {
+		return err
+	}
+	opts.Streams.Printf("another daemon sees it as sick after %d ms", took.Milliseconds())
+	if !pause(ctx, third-time.Since(began)) {
 		return nil
 	}
 	victim := f.Daemons[len(f.Daemons)-1]
