--- /dev/null
+++ b/choose/path.go
@@ -0,0 +1,56 @@
+package choose
+
+import (
+	"chestnutlatch/clock"
+	"chestnutlatch/ident"
+)
+
+const (
+	// firstPenalty and maxPenalty bound the time a failed path is avoided.
+	firstPenalty = 250 * clock.Millisecond
+	maxPenalty   = 15 * clock.Second
+)
+
+// path is what an entry knows of the way to one instance.
+type path struct {
+	failures int
+	until    clock.Millis
+}
+
+// PathFailed notes that an instance could not be reached. It says nothing
+// about the targets there.
+func (p *Picker) PathFailed(now clock.Millis, id ident.Instance) {
+	p.pathMu.Lock()
+	defer p.pathMu.Unlock()
+	w := p.paths[id]
+	if w == nil {
+		w = &path{}
+		p.paths[id] = w
+	}
+	if now < w.until {
+		return
+	}
+	w.until = now + min(firstPenalty<<min(w.failures, 8), maxPenalty)
+	w.failures++
+}
+
+// PathWorks notes that an instance answered.
+func (p *Picker) PathWorks(id ident.Instance) {
+	p.pathMu.RLock()
+	_, bad := p.paths[id]
+	p.pathMu.RUnlock()
+	if !bad {
+		return
+	}
+	p.pathMu.Lock()
+	defer p.pathMu.Unlock()
+	delete(p.paths, id)
+}
+
+// IsPathBad reports whether an instance is avoided.
+func (p *Picker) IsPathBad(now clock.Millis, id ident.Instance) bool {
+	p.pathMu.RLock()
+	defer p.pathMu.RUnlock()
+	w := p.paths[id]
+	return w != nil && now < w.until
+}
--- a/choose/picker.go
+++ b/choose/picker.go
@@ -17,9 +17,6 @@
 	reportLife = 2 * clock.Second
 	// coldFactor times the load is what a cold target counts as.
 	coldFactor = 4
-	// firstPenalty and maxPenalty bound the time a failed path is avoided.
-	firstPenalty = 250 * clock.Millisecond
-	maxPenalty   = 15 * clock.Second
 )
 
 // Candidate is one target as known from its member's record.
@@ -53,12 +50,6 @@
 	mine int
 }
 
-// path is what an entry knows of the way to one instance.
-type path struct {
-	failures int
-	until    clock.Millis
-}
-
 type service struct {
 	mu      sync.Mutex
 	targets map[ident.Target]*target
@@ -150,44 +141,6 @@
 	}
 }
 
-// PathFailed notes that an instance could not be reached. It says nothing
-// about the targets there.
-func (p *Picker) PathFailed(now clock.Millis, id ident.Instance) {
-	p.pathMu.Lock()
-	defer p.pathMu.Unlock()
-	w := p.paths[id]
-	if w == nil {
-		w = &path{}
-		p.paths[id] = w
-	}
-	if now < w.until {
-		return
-	}
-	w.until = now + min(firstPenalty<<min(w.failures, 8), maxPenalty)
-	w.failures++
-}
-
-// PathWorks notes that an instance answered.
-func (p *Picker) PathWorks(id ident.Instance) {
-	p.pathMu.RLock()
-	_, bad := p.paths[id]
-	p.pathMu.RUnlock()
-	if !bad {
-		return
-	}
-	p.pathMu.Lock()
-	defer p.pathMu.Unlock()
-	delete(p.paths, id)
-}
-
-// IsPathBad reports whether an instance is avoided.
-func (p *Picker) IsPathBad(now clock.Millis, id ident.Instance) bool {
-	p.pathMu.RLock()
-	defer p.pathMu.RUnlock()
-	w := p.paths[id]
-	return w != nil && now < w.until
-}
-
 // Want describes the request to find a target for.
 type Want struct {
 	Service      ident.Service
@@ -364,51 +317,3 @@
 	}
 	return c
 }
-
-// Keep drops the targets of an instance that are not in its newest record.
-func (p *Picker) Keep(from ident.Instance, ids map[ident.Target]bool) {
-	p.mu.RLock()
-	services := make([]*service, 0, len(p.services))
-	for _, s := range p.services {
-		services = append(services, s)
-	}
-	p.mu.RUnlock()
-	for _, s := range services {
-		s.mu.Lock()
-		for id, t := range s.targets {
-			if t.Instance == from && !ids[id] {
-				delete(s.targets, id)
-			}
-		}
-		s.mu.Unlock()
-	}
-}
-
-// Kin returns the instances of the next n targets of a service in the order of
-// their ids, as a ring, without the target's own instance. Each guard so tells
-// a few others of its targets, and hears of as many, at any size.
-func (p *Picker) Kin(id ident.Service, t ident.Target, n int) []ident.Instance {
-	s := p.service(id, false)
-	if s == nil {
-		return nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	own := s.targets[t]
-	if own == nil {
-		return nil
-	}
-	ring := s.eligible(Want{})
-	start := sort.Search(len(ring), func(i int) bool { return ring[i].Target > t })
-	var out []ident.Instance
-	for i := range ring {
-		next := ring[(start+i)%len(ring)].Instance
-		if next != own.Instance {
-			out = append(out, next)
-		}
-		if len(out) == n {
-			break
-		}
-	}
-	return out
-}
--- /dev/null
+++ b/daemon/claims.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"chestnutlatch/limit"
+	"chestnutlatch/store"
+)
+
+// claim reads one slot's record and writes this daemon's claim if it may.
+func (s *slots) claim(ctx context.Context, slot limit.Slot) bool {
+	asked := s.d.clk.Now()
+	c, rev, found, err := s.readClaim(ctx, slot)
+	if err != nil {
+		return false
+	}
+	s.mu.Lock()
+	before, _ := s.holder.Held()
+	s.holder.Observe(asked, slot, c, found)
+	after, _ := s.holder.Held()
+	next, write := s.holder.Next(s.d.clk.Now(), slot, s.preferred[slot])
+	s.mu.Unlock()
+	if !write {
+		return len(before) != len(after)
+	}
+	return s.write(ctx, slot, rev, next)
+}
+
+func (s *slots) giveUp(ctx context.Context, slot limit.Slot) bool {
+	asked := s.d.clk.Now()
+	read, rev, found, err := s.readClaim(ctx, slot)
+	if err != nil {
+		return false
+	}
+	s.mu.Lock()
+	c, ok := s.holder.Release(asked, slot, read, found)
+	delete(s.astray, slot)
+	s.mu.Unlock()
+	if !ok {
+		return false
+	}
+	s.d.allocator.Forget(slot)
+	s.write(ctx, slot, rev, c)
+	return true
+}
+
+func (s *slots) readClaim(ctx context.Context, slot limit.Slot) (limit.Claim, store.Revision, bool, error) {
+	ctx, done := context.WithTimeout(ctx, storeTimeout)
+	defer done()
+	var c limit.Claim
+	e, err := s.d.store.Get(ctx, SlotKey(slot))
+	var missing *store.NotFoundError
+	if errors.As(err, &missing) {
+		return c, store.Absent, false, nil
+	}
+	if err != nil {
+		return c, 0, false, err
+	}
+	err = json.Unmarshal(e.Value, &c)
+	if err != nil {
+		return c, e.Revision, true, errors.Wrapf(err, "rate slot %d", slot)
+	}
+	return c, e.Revision, true, nil
+}
+
+func (s *slots) write(ctx context.Context, slot limit.Slot, rev store.Revision, c limit.Claim) bool {
+	ctx, done := context.WithTimeout(ctx, storeTimeout)
+	defer done()
+	value, err := json.Marshal(c)
+	if err != nil {
+		return false
+	}
+	asked := s.d.clk.Now()
+	if _, err := s.d.store.Swap(ctx, SlotKey(slot), rev, value, store.NoLease); err != nil {
+		s.d.log.Debug("rate slot not written", "slot", uint32(slot), "error", err)
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holder.Wrote(asked, slot, c, s.d.clk.Now())
+	return true
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -184,6 +184,7 @@
 	d.meter.Gauge("chestnutlatch_config_revision", func() float64 { return float64(d.table.Revision()) })
 	d.meter.Gauge("chestnutlatch_config_bytes", func() float64 { return float64(d.table.Bytes()) })
 	d.meter.Gauge("chestnutlatch_members", func() float64 { return float64(d.members.count()) })
+	d.meter.Gauge("chestnutlatch_targets", func() float64 { return float64(d.picker.Count()) })
 	d.meter.Gauge("chestnutlatch_rate_slots_held", func() float64 { return float64(d.slots.count()) })
 	d.meter.Gauge("chestnutlatch_tickets_open", func() float64 {
 		open, _ := d.guard.TicketStats()
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -130,6 +130,8 @@
 			m.send(e)
 		case member.Changed:
 			m.takeMember(e.Member)
+		case member.Forgot:
+			m.forget(e.Member)
 		case member.Behind:
 			m.ahead = max(m.ahead, e.Revision)
 			if m.behind == 0 {
@@ -179,6 +181,18 @@
 	}
 }
 
+// forget drops what this daemon holds for a member that will not come back, so
+// that instances that are replaced under new names leave nothing behind.
+func (m *members) forget(r *member.Member) {
+	m.d.picker.Forget(r.Instance)
+	m.d.peers.Forget(r.InnerAddress)
+	for slot, h := range m.holders {
+		if h.instance == r.Instance {
+			delete(m.holders, slot)
+		}
+	}
+}
+
 func targetIDs(r *member.Member) map[ident.Target]bool {
 	out := make(map[ident.Target]bool, len(r.Targets))
 	for _, t := range r.Targets {
--- a/daemon/members_test.go
+++ b/daemon/members_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"chestnutlatch/choose"
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
 	"chestnutlatch/member"
@@ -96,3 +97,36 @@
 		t.Errorf("first agrees %v, second %v", first.slots.agreed, second.slots.agreed)
 	}
 }
+
+// TestForgottenMemberLeavesNothing lets a member with a target and a rate slot
+// die and be forgotten.
+func TestForgottenMemberLeavesNothing(t *testing.T) {
+	clk := clock.NewManual(clock.Hour)
+	d := testDaemon(t, clk, stand.NewMemory(clk), 3)
+	d.members.join([]*member.Member{{
+		Instance: "old", Incarnation: 1, Version: 1, DataCentre: "dc", MemberAddress: "127.0.0.1:3", InnerAddress: "127.0.0.1:4",
+		Targets: []member.Target{{ID: "t", Service: "svc", Slots: 1}}, Slots: []member.SlotClaim{{Slot: 1, Term: 1}},
+	}})
+	want := choose.Want{Service: "svc", FloorPercent: 50}
+	if _, ok := d.picker.Pick(clk.Now(), want); !ok {
+		t.Fatal("the target is not known")
+	}
+	if _, _, ok := d.members.SlotHolder(1); !ok {
+		t.Fatal("the slot's holder is not known")
+	}
+	for range 2000 {
+		clk.Advance(clock.Second)
+		d.members.mu.Lock()
+		d.members.carryOut(d.members.view.Tick(clk.Now()))
+		d.members.mu.Unlock()
+	}
+	if n := d.members.count(); n != 1 {
+		t.Errorf("%d members are known, want only the daemon itself", n)
+	}
+	if _, _, ok := d.members.SlotHolder(1); ok {
+		t.Error("the slot still has its holder")
+	}
+	if n := d.picker.Count(); n != 0 {
+		t.Errorf("%d targets are known, want none", n)
+	}
+}
--- a/member/member.go
+++ b/member/member.go
@@ -117,8 +117,8 @@
 	Buckets []uint64
 }
 
-// Effect is what the owner of the view has to do: Send, Changed, Behind or
-// Superseded.
+// Effect is what the owner of the view has to do: Send, Changed, Forgot, Behind
+// or Superseded.
 type Effect interface {
 	effect()
 }
@@ -134,6 +134,11 @@
 	Member *Member
 }
 
+// Forgot tells that a member that is dead or left for long is no longer known.
+type Forgot struct {
+	Member *Member
+}
+
 // Behind tells that a peer has a newer configuration.
 type Behind struct {
 	Peer     ident.Instance
@@ -148,6 +153,7 @@
 
 func (Send) effect()       {}
 func (Changed) effect()    {}
+func (Forgot) effect()     {}
 func (Behind) effect()     {}
 func (Superseded) effect() {}
 
