Take back the rate slots of an earlier life; drains reach the guard

Found by the process tests: a daemon that had been alone held all rate slots; killed and started again it looked only at the slots that the placement names for it, and the others, which nobody else may take before the lease of 6 hours ends, stayed vacant: 1,208 of 1,208 requests refused as rate_unavailable. A starting daemon now reads all claims once and takes back those of its earlier life; they move on by the hand-over. Seen failing before.

Reconnects to a peer wait at most 1 s (the library's default grows to 120 s).

A target drained by operators still got actions whose tickets were taken before: the guard now knows the operators' word. Callers with oversized headers could get a reset instead of the refusal: what they still send is read first.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -10,6 +10,33 @@
 	"chestnutlatch/store"
 )
 
+// recall reads all claims once and notes those of an earlier life.
+func (s *slots) recall(ctx context.Context) bool {
+	ctx, done := context.WithTimeout(ctx, storeTimeout)
+	defer done()
+	entries, _, err := s.d.store.List(ctx, SlotPrefix, "", s.d.cfg.RateSlots)
+	if err != nil {
+		return false
+	}
+	claims := map[string]limit.Claim{}
+	for _, e := range entries {
+		var c limit.Claim
+		if err := json.Unmarshal(e.Value, &c); err == nil {
+			claims[e.Key] = c
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.former = map[limit.Slot]bool{}
+	for slot := range limit.Slot(s.d.cfg.RateSlots) {
+		c, found := claims[SlotKey(slot)]
+		if found && c.Instance == s.d.instance && c.Incarnation < s.d.incarnation && !c.Released {
+			s.former[slot] = true
+		}
+	}
+	return true
+}
+
 // claim reads one slot's record and writes this daemon's claim if it may.
 func (s *slots) claim(ctx context.Context, slot limit.Slot) bool {
 	asked := s.d.clk.Now()
@@ -22,6 +49,10 @@
 	s.holder.Observe(asked, slot, c, found)
 	after, _ := s.holder.Held()
 	next, write := s.holder.Next(s.d.clk.Now(), slot, s.preferred[slot])
+	if found && (c.Instance != s.d.instance || c.Incarnation == s.d.incarnation) {
+		// The slot is taken over, by this life or by another daemon.
+		delete(s.former, slot)
+	}
 	s.mu.Unlock()
 	if !write {
 		return len(before) != len(after)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -138,7 +138,9 @@
 		TTL: d.cfg.TicketTTL, MaxOpen: d.cfg.MaxTickets, MaxKeptBytes: d.cfg.KeptBytes,
 	})
 	g := guard.New(guard.Config{QueueLimit: d.cfg.QueueLimit, MaxAnswerBytes: d.cfg.MaxAnswerBytes},
-		d.clk, d.log.Named("guard"), d.vitals, d.pool, home)
+		guard.Deps{
+			Clock: d.clk, Log: d.log.Named("guard"), Peers: d.vitals, Pool: d.pool, Home: home, IsDrained: d.table.Draining,
+		})
 	for _, t := range d.cfg.Targets {
 		g.Add(guard.Spec{ID: t.ID, Service: t.Service, Address: t.Address, Slots: t.Slots})
 	}
--- a/daemon/members_test.go
+++ b/daemon/members_test.go
@@ -130,3 +130,34 @@
 		t.Errorf("%d targets are known, want none", n)
 	}
 }
+
+// TestRestartTakesItsSlotsBack kills a daemon that held all slots and starts it
+// again in a fleet whose placement names another daemon for some of them.
+func TestRestartTakesItsSlotsBack(t *testing.T) {
+	const count = 6
+	clk := clock.NewManual(clock.Hour)
+	mem := stand.NewMemory(clk)
+	hold := func(d *Daemon) int {
+		for range 3 {
+			if d.slots.agreed || d.slots.agree(t.Context()) {
+				d.slots.recall(t.Context())
+			}
+		}
+		for range 3 {
+			d.slots.place()
+			d.slots.work(t.Context())
+		}
+		return d.slots.count()
+	}
+	if n := hold(testDaemon(t, clk, mem, count)); n != count {
+		t.Fatalf("a daemon alone holds %d slots, want %d", n, count)
+	}
+	clk.Advance(clock.Second)
+	second := testDaemon(t, clk, mem, count)
+	second.members.join([]*member.Member{{
+		Instance: "other", Incarnation: 1, Version: 1, DataCentre: "dc", Region: "r", MemberAddress: "127.0.0.1:3", InnerAddress: "127.0.0.1:4",
+	}})
+	if n := hold(second); n != count {
+		t.Errorf("after its restart the daemon holds %d slots, want %d: nobody else may take them", n, count)
+	}
+}
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -53,6 +53,9 @@
 	placed    clock.Millis
 	// agreed tells that the store's number of slots is this daemon's.
 	agreed bool
+	// former holds the slots that an earlier life of this daemon held; nil
+	// until they were read. Nobody else may take them before their lease ends.
+	former map[limit.Slot]bool
 	// astray is since when a held slot is placed elsewhere.
 	astray map[limit.Slot]clock.Millis
 }
@@ -117,7 +120,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			if !s.agreed && !s.agree(ctx) {
+			if !s.agreed && !s.agree(ctx) || s.former == nil && !s.recall(ctx) {
 				continue
 			}
 			s.place()
@@ -214,8 +217,8 @@
 	}
 }
 
-// due returns the held slots whose claim needs a write and the preferred ones
-// that are not held.
+// due returns the held slots whose claim needs a write, and the preferred ones
+// and those of an earlier life that are not held.
 func (s *slots) due() []limit.Slot {
 	now := s.d.clk.Now()
 	s.mu.Lock()
@@ -239,6 +242,11 @@
 			out = append(out, slot)
 		}
 	}
+	for slot := range s.former {
+		if !isHeld[slot] && !s.preferred[slot] {
+			out = append(out, slot)
+		}
+	}
 	return out
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -79,7 +79,10 @@
 	t.Cleanup(pool.Release)
 	clk := clock.NewSystem()
 	home := once.New(once.Config{Instance: "i", Incarnation: 1, Secret: []byte("s"), TTL: clock.Minute, MaxOpen: 1000, MaxKeptBytes: 1 << 20})
-	g := guard.New(guard.Config{QueueLimit: 64, MaxAnswerBytes: 1 << 20}, clk, hclog.NewNullLogger(), s.fleet, pool, home)
+	g := guard.New(guard.Config{QueueLimit: 64, MaxAnswerBytes: 1 << 20}, guard.Deps{
+		Clock: clk, Log: hclog.NewNullLogger(), Peers: s.fleet, Pool: pool, Home: home,
+		IsDrained: func(ident.Target) bool { return false },
+	})
 	picker := choose.New("dc", "r", 1)
 	for i, a := range answers {
 		id := ident.Target([]string{"t0", "t1"}[i])
--- a/entry/http.go
+++ b/entry/http.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -138,7 +140,34 @@
 			r = fault.NotRun(fault.TooLarge, "request body is over max_request_bytes: send less")
 		}
 	}
+	drain(c.Conn())
 	e.Meter.Refused(r)
 	writeRefusal(c, r, "")
 	c.SetConnectionClose()
 }
+
+const (
+	// drainIdle ends the reading of a refused request when nothing more comes.
+	drainIdle = 50 * time.Millisecond
+	// drainTime and drainBytes bound it altogether.
+	drainTime  = 2 * time.Second
+	drainBytes = 16 << 20
+)
+
+// drain reads what the caller still sends of a refused request. Closing the
+// connection with bytes unread would reset it before the caller has read the
+// refusal.
+func drain(c net.Conn) {
+	buf := make([]byte, 16<<10)
+	end := time.Now().Add(drainTime)
+	for total := 0; total < drainBytes && time.Now().Before(end); {
+		if err := c.SetReadDeadline(time.Now().Add(drainIdle)); err != nil {
+			return
+		}
+		n, err := c.Read(buf)
+		if err != nil {
+			return
+		}
+		total += n
+	}
+}
--- a/fleet/promise_test.go
+++ b/fleet/promise_test.go
@@ -66,6 +66,8 @@
 	t.Run("restart while the store is away", func(t *testing.T) { testRestartInOutage(t, f) })
 	t.Run("lost answer", func(t *testing.T) { testLostAnswer(t, f) })
 	t.Run("rate", func(t *testing.T) { testRate(t, f) })
+	t.Run("drained target", func(t *testing.T) { testDrainedTarget(t, f, teams) })
+	t.Run("brown-out", func(t *testing.T) { testBrownOut(t, f, teams) })
 	t.Run("planned stop", func(t *testing.T) { testPlannedStop(t, f, teams) })
 }
 
@@ -215,6 +217,9 @@
 // rate, and compares with what an exact bucket allows in that time at most.
 func testRate(t *testing.T, f *Fleet) {
 	const rate, burst = 50, 50
+	if err := f.WaitSlots(); err != nil {
+		t.Fatal(err)
+	}
 	key, err := f.IssueKey("tamale")
 	if err != nil {
 		t.Fatal(err)
@@ -254,3 +259,81 @@
 		t.Errorf("verdict %+v (%v)", v, err)
 	}
 }
+
+// requests returns how many requests a target has got.
+func (f *Fleet) requests(t *testing.T, i int) int {
+	t.Helper()
+	var rec stand.Record
+	if _, err := GetJSON(f.Targets[i].Control, "/record", &rec); err != nil {
+		t.Fatal(err)
+	}
+	return rec.Requests
+}
+
+// testDrainedTarget drains a target by an operator's command; once that is
+// accepted the target gets nothing more, not even for tickets taken before.
+func testDrainedTarget(t *testing.T, f *Fleet, teams []load.Team) {
+	const drained = 1
+	id := "t-" + strings.TrimPrefix(f.Targets[drained].Name, "target-")
+	var tickets []string
+	for _, e := range f.Entries() {
+		tickets = append(tickets, ask(t, "POST", "http://"+e+"/bookings", bearer(teams[0].Key), "").ticket)
+	}
+	if _, err := f.Operator("target", "drain", id, "--wait", "30s"); err != nil {
+		t.Fatal(err)
+	}
+	before := f.requests(t, drained)
+	for i, e := range f.Entries() {
+		headers := bearer(teams[0].Key)
+		headers["Idempotency-Key"] = tickets[i]
+		if a := ask(t, "POST", "http://"+e+"/bookings", headers, ""); a.status != 200 && a.outcome != "not_run" {
+			t.Errorf("ticket taken before the drain: %+v", a)
+		}
+	}
+	res := load.Run(context.Background(), load.Config{
+		Entries: f.Entries(), Teams: teams, Paths: DemoPaths(), Duration: 2 * time.Second, Timeout: 3 * time.Second,
+		Repeats: 4, Seed: 5, Label: "drained", MaxRequests: 500,
+	})
+	if n := f.requests(t, drained) - before; n != 0 {
+		t.Errorf("the drained target got %d requests", n)
+	}
+	if _, err := f.Operator("target", "restore", id, "--wait", "30s"); err != nil {
+		t.Error(err)
+	}
+	if v, err := f.Judge(res); err != nil || !v.IsClean() || res.Served == 0 {
+		t.Errorf("served %d, verdict %+v (%v)", res.Served, v, err)
+	}
+}
+
+// testBrownOut lets every target of a service fail; retries must not multiply
+// its load.
+func testBrownOut(t *testing.T, f *Fleet, teams []load.Team) {
+	total := func() (n int) {
+		for i, p := range f.Targets {
+			if string(p.Service) == DemoServices()[0] {
+				n += f.requests(t, i)
+			}
+		}
+		return n
+	}
+	for i, p := range f.Targets {
+		if string(p.Service) == DemoServices()[0] {
+			f.targetFault(i, stand.TargetFaults{ErrorRate: 1})(t)
+			defer f.targetFault(i, stand.TargetFaults{})(t)
+		}
+	}
+	before, began := total(), time.Now()
+	res := load.Run(context.Background(), load.Config{
+		Entries: f.Entries(), Teams: teams, Paths: DemoPaths()[:1], Duration: 3 * time.Second, Timeout: 3 * time.Second,
+		Seed: 6, Label: "brown", MaxRequests: 1000,
+	})
+	// One retry in ten requests, and for each daemon one a second and what it
+	// has saved up.
+	const saved = 20
+	most := res.Sent + res.Sent/10 + len(f.Daemons)*(int(time.Since(began).Seconds())+1+saved)
+	got := total() - before
+	t.Logf("sent %d, targets got %d, at most %d allowed", res.Sent, got, most)
+	if got > most {
+		t.Errorf("targets got %d requests for %d, at most %d are allowed", got, res.Sent, most)
+	}
+}
--- a/fleet/wait.go
+++ b/fleet/wait.go
@@ -113,11 +113,20 @@
 
 // PutJSON sends v as JSON.
 func PutJSON(address, path string, v any) error {
+	return sendJSON(http.MethodPut, address, path, v)
+}
+
+// DeleteJSON sends v as the body of a DELETE.
+func DeleteJSON(address, path string, v any) error {
+	return sendJSON(http.MethodDelete, address, path, v)
+}
+
+func sendJSON(method, address, path string, v any) error {
 	body, err := json.Marshal(v)
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequest(http.MethodPut, "http://"+address+path, strings.NewReader(string(body)))
+	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(string(body)))
 	if err != nil {
 		return err
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -48,17 +48,31 @@
 	peers PeerStats
 	pool  *ants.Pool
 	home  *tickets
+	// isDrained is the operators' word on a target.
+	isDrained func(ident.Target) bool
 
 	mu       sync.RWMutex
 	targets  map[ident.Target]*target
 	draining bool
 }
 
-// New returns a guard without targets. pool runs the exchanges with targets.
-func New(cfg Config, clk clock.Clock, log hclog.Logger, peers PeerStats, pool *ants.Pool, home *once.Home) *Guard {
+// Deps are what a guard works with.
+type Deps struct {
+	Clock clock.Clock
+	Log   hclog.Logger
+	Peers PeerStats
+	// Pool runs the one-time actions.
+	Pool *ants.Pool
+	Home *once.Home
+	// IsDrained is the operators' word on a target.
+	IsDrained func(ident.Target) bool
+}
+
+// New returns a guard without targets.
+func New(cfg Config, d Deps) *Guard {
 	return &Guard{
-		cfg: cfg, clk: clk, log: log, peers: peers, pool: pool,
-		home:    newTickets(home),
+		cfg: cfg, clk: d.Clock, log: d.Log, peers: d.Peers, pool: d.Pool, isDrained: d.IsDrained,
+		home:    newTickets(d.Home),
 		targets: map[ident.Target]*target{},
 	}
 }
@@ -201,7 +215,7 @@
 	var best *target
 	lowest := 0.0
 	for _, t := range g.list() {
-		if t.spec.Service != s {
+		if t.spec.Service != s || g.isDrained(t.spec.ID) {
 			continue
 		}
 		t.mu.Lock()
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -75,6 +75,9 @@
 
 func write(c net.Conn, s string) { _, _ = c.Write([]byte(s)) }
 
+// drained is the operators' word on the target of the running test.
+var drained atomic.Bool
+
 func testGuard(t *testing.T, f *fakeTarget, slots int) *Guard {
 	t.Helper()
 	pool, err := ants.NewPool(64)
@@ -85,7 +88,10 @@
 	home := once.New(once.Config{
 		Instance: "i", Incarnation: 1, Secret: []byte("s"), TTL: clock.Minute, MaxOpen: 100, MaxKeptBytes: 1 << 20,
 	})
-	g := New(Config{QueueLimit: 4, MaxAnswerBytes: 1000}, clock.NewSystem(), hclog.NewNullLogger(), noPeers{}, pool, home)
+	g := New(Config{QueueLimit: 4, MaxAnswerBytes: 1000}, Deps{
+		Clock: clock.NewSystem(), Log: hclog.NewNullLogger(), Peers: noPeers{}, Pool: pool, Home: home,
+		IsDrained: func(ident.Target) bool { return drained.Load() },
+	})
 	g.Add(Spec{ID: "t", Service: "svc", Address: f.Addr().String(), Slots: slots})
 	return g
 }
@@ -280,18 +286,31 @@
 }
 
 func TestDrainingTargetHasNotRun(t *testing.T) {
-	f := startTarget(t, func(_, _ int64, c net.Conn) bool { write(c, whole("ok")); return true })
-	g := testGuard(t, f, 1)
-	req := onceRequest(t, g, 5000)
-	g.Drain()
-	for _, q := range []*wire.ForwardRequest{lookup(5000), req, req} {
-		r := FromWire(g.Forward(context.Background(), q).GetRefusal())
-		if r.Outcome != ident.OutcomeNotRun {
-			t.Errorf("refusal = %v, want outcome not_run", r)
-		}
+	tests := []struct {
+		name  string
+		drain func(g *Guard)
+	}{
+		{"planned stop", func(g *Guard) { g.Drain() }},
+		{"target leaves", func(g *Guard) { g.Leave("t") }},
+		{"operators drain it", func(*Guard) { drained.Store(true) }},
 	}
-	if n := f.requests.Load(); n != 0 {
-		t.Errorf("a draining target got %d requests", n)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Cleanup(func() { drained.Store(false) })
+			f := startTarget(t, func(_, _ int64, c net.Conn) bool { write(c, whole("ok")); return true })
+			g := testGuard(t, f, 1)
+			req := onceRequest(t, g, 5000)
+			tt.drain(g)
+			for _, q := range []*wire.ForwardRequest{lookup(5000), req, req} {
+				r := FromWire(g.Forward(context.Background(), q).GetRefusal())
+				if q != req && r.Kind != fault.Draining || r.Outcome != ident.OutcomeNotRun {
+					t.Errorf("refusal = %v, want outcome not_run", r)
+				}
+			}
+			if n := f.requests.Load(); n != 0 {
+				t.Errorf("a draining target got %d requests", n)
+			}
+		})
 	}
 }
 
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -25,6 +25,9 @@
 
 // serve waits for a slot and exchanges the request with the target.
 func (g *Guard) serve(ctx context.Context, t *target, req *wire.ForwardRequest) (*wire.Answer, *fault.Refusal) {
+	if g.isDrained(t.spec.ID) {
+		return nil, fault.NotRun(fault.Draining, "target %s takes no new work: repeat the request", t.spec.ID)
+	}
 	now := g.clk.Now()
 	timeout := clock.Millis(req.GetTimeoutMs())
 	job := queue.Job{
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/metadata"
@@ -30,6 +31,13 @@
 	secretHeader = "x-fleet-secret"
 )
 
+// reconnect keeps the pauses between attempts short: a peer that starts again
+// holds rate slots and tickets that are asked for at once.
+var reconnect = grpc.ConnectParams{
+	Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
+	MinConnectTimeout: time.Second,
+}
+
 // Pool holds one connection for each address. It is safe for concurrent use.
 type Pool struct {
 	creds  credentials.TransportCredentials
@@ -60,6 +68,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(p.creds),
 		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithConnectParams(reconnect),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithUnaryInterceptor(p.attach),
--- a/rigs/target.go
+++ b/rigs/target.go
@@ -78,16 +78,20 @@
 		return errors.Wrap(err, "target address")
 	}
 	if opts.Announce != "" {
-		go announce(opts)
+		go announce(opts, t)
 	}
 	go func() { _ = fasthttp.ListenAndServe(opts.Control, t.Control) }()
 	return t.Serve(l)
 }
 
 // announce tells the daemon of the target until the process ends.
-func announce(opts *TargetOptions) {
+func announce(opts *TargetOptions, t *stand.Target) {
 	for {
-		err := fleet.PutJSON(opts.Announce, "/v1/targets", struct {
+		send := fleet.PutJSON
+		if t.IsDraining() {
+			send = fleet.DeleteJSON
+		}
+		err := send(opts.Announce, "/v1/targets", struct {
 			Target  string `json:"target"`
 			Service string `json:"service"`
 			Address string `json:"address"`
--- a/stand/target.go
+++ b/stand/target.go
@@ -33,6 +33,8 @@
 	Refuse bool `json:"refuse"`
 	// SickHealth makes the health endpoint fail, whatever the target does.
 	SickHealth bool `json:"sick_health"`
+	// Drain makes the target leave its daemon.
+	Drain bool `json:"drain"`
 	// DropAfterRate is the part of the requests that get no answer after
 	// the work is done.
 	DropAfterRate float64 `json:"drop_after_rate"`
@@ -129,6 +131,13 @@
 	}
 }
 
+// IsDraining reports whether the target should leave its daemon.
+func (t *Target) IsDraining() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults.Drain
+}
+
 // Record returns a copy of what the target has seen.
 func (t *Target) Record() Record {
 	t.mu.Lock()
