--- a/choose/picker.go
+++ b/choose/picker.go
@@ -38,8 +38,6 @@
 	State    ident.TargetState
 	InFlight int
 	Queued   int
-	Slots    int
-	Latency  ident.Micros
 }
 
 type target struct {
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -177,7 +177,7 @@
 		}
 	}
 	if r.Instance != m.d.instance {
-		m.d.log.Debug("member changed", "instance", r.Instance, "status", int(r.Status), "version", r.Version)
+		m.d.log.Debug("member changed", "instance", r.Instance, "status", r.Status, "version", r.Version)
 	}
 }
 
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -44,9 +44,6 @@
 // profilePath serves the runtime's profiles.
 const profilePath = "/debug/pprof/"
 
-// statusNames are the words for a member's status.
-var statusNames = [...]string{"alive", "suspect", "dead", "left"}
-
 // operate serves operators and announcing targets.
 func (d *Daemon) operate(c *fasthttp.RequestCtx) {
 	if strings.HasPrefix(string(c.Path()), profilePath) {
@@ -126,7 +123,7 @@
 	for _, m := range d.members.list() {
 		ms := MemberStatus{
 			Instance: m.Instance, DataCentre: m.DataCentre, Region: m.Region,
-			Status: statusNames[m.Status], PathBad: d.picker.IsPathBad(now, m.Instance),
+			Status: m.Status.String(), PathBad: d.picker.IsPathBad(now, m.Instance),
 		}
 		for _, t := range m.Targets {
 			ms.Targets = append(ms.Targets, TargetStatus{Target: t.ID, Service: t.Service, State: t.State, Slots: t.Slots})
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -74,6 +74,7 @@
 	r.out.TimeoutMs = uint32(max(r.deadline-e.Clock.Now(), 1))
 	reply, err := e.link.call(ctx, c.Instance, c.Address, r.out)
 	if err != nil {
+		e.Log.Debug("guard not reached", "target", c.Target, "at", c.Instance, "error", err)
 		r.unknown = true
 		if ctx.Err() != nil {
 			return nil, fault.Unknown(fault.DeadlineExceeded, "no answer in time: allow more time with %s", guard.TimeoutHeader)
@@ -98,8 +99,6 @@
 		State:    ident.TargetState(l.GetState()),
 		InFlight: int(l.GetInFlight()),
 		Queued:   int(l.GetQueued()),
-		Slots:    int(l.GetSlots()),
-		Latency:  ident.Micros(l.GetLatencyUs()),
 	})
 }
 
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -259,7 +259,7 @@
 	}
 	answer, refusal := g.serve(ctx, t, req)
 	setResult(reply, answer, refusal)
-	reply.Load = t.report(g.clk.Now())
+	reply.Load = t.report()
 	return reply
 }
 
--- a/guard/target.go
+++ b/guard/target.go
@@ -169,16 +169,14 @@
 	return member.Vital{Service: t.spec.Service, Target: t.spec.ID, Windows: s.Windows}
 }
 
-func (t *target) report(now clock.Millis) *wire.LoadReport {
+func (t *target) report() *wire.LoadReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return &wire.LoadReport{
-		Target:    string(t.spec.ID),
-		State:     uint32(t.state()),
-		InFlight:  uint32(t.queue.Running()),
-		Queued:    uint32(t.queue.Waiting()),
-		Slots:     uint32(t.queue.Slots()),
-		LatencyUs: uint64(t.detector.Stats(now).Recent().Latency),
+		Target:   string(t.spec.ID),
+		State:    uint32(t.state()),
+		InFlight: uint32(t.queue.Running()),
+		Queued:   uint32(t.queue.Waiting()),
 	}
 }
 
--- a/guard/tickets.go
+++ b/guard/tickets.go
@@ -122,7 +122,7 @@
 			res.refusal = fault.NotRun(fault.Draining, "no target of service %s takes work here: take a new ticket", req.GetService())
 		} else {
 			res.answer, res.refusal = g.serve(context.WithoutCancel(ctx), t, req)
-			res.load = t.report(g.clk.Now())
+			res.load = t.report()
 		}
 		g.home.finish(serial, res.answer, res.refusal)
 		done <- res
--- a/health/health.go
+++ b/health/health.go
@@ -10,6 +10,8 @@
 	"chestnutlatch/ident"
 )
 
+//go:generate enumer -type=Result -transform=snake -trimprefix=Result -output=health_enumer.go
+
 // Result is how one request at a target ended.
 type Result int
 
@@ -65,17 +67,6 @@
 	Windows [WindowCount]Stats
 }
 
-// Recent returns the counts of the shortest window with enough samples, or of
-// the longest.
-func (p PeerStats) Recent() Stats {
-	for _, s := range p.Windows[1:] {
-		if s.Count >= minSamples {
-			return s
-		}
-	}
-	return p.Windows[WindowCount-1]
-}
-
 // Verdict is a detector's word on a target.
 type Verdict struct {
 	Sick   bool
--- a/load/load.go
+++ b/load/load.go
@@ -50,6 +50,8 @@
 	MaxRequests int
 }
 
+//go:generate enumer -type=Final -transform=snake -trimprefix=Final -output=load_enumer.go
+
 // Final is how an action ended for its caller.
 type Final int
 
--- a/member/member.go
+++ b/member/member.go
@@ -11,6 +11,8 @@
 	"chestnutlatch/limit"
 )
 
+//go:generate enumer -type=Status,MessageKind -transform=snake -trimprefix=Status,Message -output=member_enumer.go
+
 // Status is the fleet's word on a member.
 type Status int
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -106,9 +106,6 @@
 // Slots returns the number of slots.
 func (q *Queue) Slots() int { return q.slots }
 
-// SetSlots changes the number of slots; running jobs go on.
-func (q *Queue) SetSlots(n int) { q.slots = max(n, 1) }
-
 // Offer asks for a slot. The effects start or refuse the job or an earlier
 // one; a job with no effect waits.
 func (q *Queue) Offer(now clock.Millis, j Job) []Effect {
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -8,6 +8,8 @@
 	"github.com/go-faster/errors"
 )
 
+//go:generate enumer -type=State -transform=snake -output=sock_enumer.go
+
 // State is what a look at a connection found.
 type State int
 
