Compare the store's client with the store in memory; fuzz what peers send

The comparison found that a write under a lapsed lease was told as an outage, so that its writer would have tried again; the protocol now says it.

--- a/member/view_test.go
+++ b/member/view_test.go
@@ -426,3 +426,24 @@
 		})
 	}
 }
+
+// FuzzReceive feeds datagrams of any content to a view, as an attacker with the
+// fleet's secret could.
+func FuzzReceive(f *testing.F) {
+	good, err := Encode(Message{Kind: MessageDigest, Sender: "x", Buckets: make([]uint64, bucketCount), Members: []*Member{{Instance: "x"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add([]byte{0x08, 0x07, 0x3a, 0x00})
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		v := New(DefaultConfig(), Member{Instance: "self", Incarnation: 1}, rand.New(rand.NewPCG(1, 1)), 0)
+		v.Receive(1, "127.0.0.1:1", m)
+		v.Tick(1000)
+		v.Members()
+	})
+}
--- a/stand/server.go
+++ b/stand/server.go
@@ -62,6 +62,10 @@
 	if errors.As(err, &conflict) {
 		return &kvapi.SwapReply{Current: toPair(conflict.Current)}, nil
 	}
+	var lost *store.LeaseLostError
+	if errors.As(err, &lost) {
+		return &kvapi.SwapReply{LeaseLost: true}, nil
+	}
 	if err != nil {
 		return nil, unavailable(err)
 	}
--- a/store/client.go
+++ b/store/client.go
@@ -80,6 +80,9 @@
 	if err != nil {
 		return 0, &UnavailableError{Op: "swap", Err: err}
 	}
+	if r.GetLeaseLost() {
+		return 0, &LeaseLostError{Lease: LeaseID(req.GetLease())}
+	}
 	if !r.GetDone() {
 		return 0, &ConflictError{Key: req.GetKey(), Want: Revision(req.GetWant()), Current: toEntry(r.GetCurrent())}
 	}
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -225,3 +225,20 @@
 		t.Errorf("snapshot lost the unknown field (%v)", err)
 	}
 }
+
+// FuzzSnapshot feeds snapshots of any content to a builder, as a faulty peer
+// could.
+func FuzzSnapshot(f *testing.F) {
+	f.Add([]byte{byte(record.KindTeam), 3, 0, 0x0a, 0x01, 't'})
+	f.Add([]byte{9, 0, 0})
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		builder := NewBuilder()
+		if err := builder.Add(1, b); err != nil {
+			return
+		}
+		t := New()
+		t.Install(builder)
+		t.Match("", "/a")
+		t.TeamOfKey("k")
+	})
+}
