--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -100,6 +100,7 @@
 		},
 		{name: "apply lists every fault", line: "config apply -f - --wait 0", in: `[{"kind":"team","id":"x","record":{"schema":2}},{"kind":"team","id":"y","record":{"schema":7}}]`, wantErr: "item 2"},
 		{name: "apply of no list", line: "config apply -f -", in: "{", wantErr: "not a JSON list"},
+		{name: "snapshot dry run", before: []string{withTeam, "config snapshot --dry-run"}, line: "team list", want: "fundi\t50\t100\t1\n"},
 		{name: "snapshot", before: []string{withTeam, "config snapshot"}, line: "team list", want: "fundi\t50\t100\t1\n"},
 	}
 	for _, tt := range tests {
--- a/admin/config/snapshot.go
+++ b/admin/config/snapshot.go
@@ -9,15 +9,16 @@
 	"chestnutlatch/config"
 )
 
-// SnapshotOptions are the dependencies of `config snapshot`.
+// SnapshotOptions are the dependencies and flags of `config snapshot`.
 type SnapshotOptions struct {
 	Factory *cmdkit.Factory
+	DryRun  bool
 }
 
 // NewCmdSnapshot returns the `config snapshot` command.
 func NewCmdSnapshot(f *cmdkit.Factory, runF func(*SnapshotOptions) error) *cobra.Command {
 	opts := &SnapshotOptions{Factory: f}
-	return &cobra.Command{
+	cmd := &cobra.Command{
 		Use:     "snapshot",
 		Short:   "Fold the log into a snapshot, so that it is read faster",
 		Example: "  chestnutlatch config snapshot",
@@ -29,6 +30,8 @@
 			return snapshotRun(cmd.Context(), opts)
 		},
 	}
+	cmd.Flags().BoolVar(&opts.DryRun, "dry-run", false, "read and fold the log without writing")
+	return cmd
 }
 
 func snapshotRun(ctx context.Context, opts *SnapshotOptions) error {
@@ -40,6 +43,10 @@
 	if err != nil {
 		return err
 	}
+	if opts.DryRun {
+		opts.Factory.Streams.Printf("dry run: a snapshot of revision %d would be written", state.Revision)
+		return nil
+	}
 	if err := config.WriteSnapshot(ctx, st, state); err != nil {
 		return err
 	}
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -214,6 +214,13 @@
 	return m.view.Members()
 }
 
+// nearby returns the live peers, those of the own data centre first.
+func (m *members) nearby() []*member.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Nearby()
+}
+
 // join takes in the records of the first contact.
 func (m *members) join(records []*member.Member) {
 	m.mu.Lock()
--- a/daemon/syncer.go
+++ b/daemon/syncer.go
@@ -188,10 +188,7 @@
 
 // snapshotFromPeers takes the configuration from the first peer that has one.
 func (s *syncer) snapshotFromPeers(ctx context.Context) bool {
-	for _, r := range s.d.members.list() {
-		if r.Instance == s.d.instance || !r.IsUp() {
-			continue
-		}
+	for _, r := range s.d.members.nearby() {
 		if err := s.snapshotFrom(ctx, r.InnerAddress); err == nil {
 			return true
 		}
--- a/member/view.go
+++ b/member/view.go
@@ -319,6 +319,25 @@
 	return effects
 }
 
+// Nearby returns the live peers in random order, those of the own data centre
+// first, so that what is asked of a peer is spread over the fleet.
+func (v *View) Nearby() []*Member {
+	var near, far []*Member
+	for _, m := range v.Members() {
+		switch {
+		case m.Instance == v.self.Instance || !m.IsUp():
+		case m.DataCentre == v.self.DataCentre:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	for _, group := range [][]*Member{near, far} {
+		v.rnd.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
+	}
+	return append(near, far...)
+}
+
 // Peers returns up to n random live members other than the given one.
 func (v *View) Peers(n int, except ident.Instance) []*Member {
 	var out []*Member
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -294,6 +294,23 @@
 	}
 }
 
+func TestNearbySpreadsOverTheDataCentre(t *testing.T) {
+	n := newNet(1)
+	n.run(20 * clock.Second)
+	n.views[0].members[name(3)].member.Status = StatusDead
+	first := map[ident.Instance]bool{}
+	for range 50 {
+		list := n.views[0].Nearby()
+		if len(list) != perDC*dcCount-2 {
+			t.Fatalf("%d peers, want all live ones but itself", len(list))
+		}
+		first[list[0].Instance] = true
+	}
+	if len(first) != 2 || !first[name(1)] || !first[name(2)] {
+		t.Errorf("the first peer is one of %v, want both live ones of the data centre", first)
+	}
+}
+
 func TestSealedDatagrams(t *testing.T) {
 	sealed := Seal([]byte("fleet"), []byte("hello"))
 	if b, err := Open([]byte("fleet"), sealed); err != nil || string(b) != "hello" {
