--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -15,7 +15,7 @@
 	"chestnutlatch/admin/keys"
 	"chestnutlatch/admin/route"
 	"chestnutlatch/admin/status"
-	"chestnutlatch/admin/svc"
+	"chestnutlatch/admin/svcs"
 	"chestnutlatch/admin/target"
 	"chestnutlatch/admin/team"
 	"chestnutlatch/clock"
@@ -42,7 +42,7 @@
 	}
 	root := &cobra.Command{Use: "chestnutlatch", SilenceErrors: true, SilenceUsage: true}
 	root.AddCommand(route.NewCmdRoute(f), team.NewCmdTeam(f), keys.NewCmdKey(f), target.NewCmdTarget(f),
-		svc.NewCmdService(f), config.NewCmdConfig(f), audit.NewCmdAudit(f, nil), status.NewCmdStatus(f, nil))
+		svcs.NewCmdService(f), config.NewCmdConfig(f), audit.NewCmdAudit(f, nil), status.NewCmdStatus(f, nil))
 	root.SetArgs(strings.Fields(line))
 	root.SetOut(&o)
 	root.SetErr(&e)
--- a/admin/root.go
+++ b/admin/root.go
@@ -12,7 +12,7 @@
 	"chestnutlatch/admin/route"
 	"chestnutlatch/admin/serve"
 	"chestnutlatch/admin/status"
-	"chestnutlatch/admin/svc"
+	"chestnutlatch/admin/svcs"
 	"chestnutlatch/admin/target"
 	"chestnutlatch/admin/team"
 	"chestnutlatch/cmdkit"
@@ -43,7 +43,7 @@
 		team.NewCmdTeam(f),
 		keys.NewCmdKey(f),
 		target.NewCmdTarget(f),
-		svc.NewCmdService(f),
+		svcs.NewCmdService(f),
 		config.NewCmdConfig(f),
 		audit.NewCmdAudit(f, nil),
 		status.NewCmdStatus(f, nil),
--- a/admin/svc/service.go
+++ b/admin/svcs/service.go
@@ -1,5 +1,5 @@
-// Package svc is the `service` command.
-package svc
+// Package svcs is the `service` command.
+package svcs
 
 import (
 	"fmt"
--- a/admin/svc/set.go
+++ b/admin/svcs/set.go
@@ -1,4 +1,4 @@
-package svc
+package svcs
 
 import (
 	"context"
--- a/rigs/load.go
+++ b/rigs/load.go
@@ -38,8 +38,8 @@
 	cmd := &cobra.Command{
 		Use:   "load --demo DIR/demo.json",
 		Short: "Send callers' requests to a running demonstration",
-		Example: `  standin load --demo /tmp/demo/demo.json --duration 10s --rush 4
-  standin load --demo /tmp/demo/demo.json --lookups --direct --json`,
+		Example: `  standin load --demo demo/demo.json --duration 10s --rush 4
+  standin load --demo demo/demo.json --lookups --direct --json`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if opts.Demo == "" {
