--- a/choose/keep.go
+++ b/choose/keep.go
@@ -16,11 +16,15 @@
 	p.mu.RUnlock()
 	for _, s := range services {
 		s.mu.Lock()
+		before := len(s.targets)
 		for id, t := range s.targets {
 			if t.Instance == from && !ids[id] {
 				delete(s.targets, id)
 			}
 		}
+		if len(s.targets) != before {
+			s.sort()
+		}
 		s.mu.Unlock()
 	}
 }
--- a/choose/picker.go
+++ b/choose/picker.go
@@ -51,8 +51,10 @@
 type service struct {
 	mu      sync.Mutex
 	targets map[ident.Target]*target
-	rnd     *rand.Rand
-	budget  budget
+	// order holds the targets by id.
+	order  []*target
+	rnd    *rand.Rand
+	budget budget
 }
 
 // Picker holds the candidates of every service. It is safe for concurrent
@@ -107,6 +109,7 @@
 	if t == nil || t.Instance != c.Instance {
 		t = &target{}
 		s.targets[c.Target] = t
+		defer s.sort()
 	}
 	t.Candidate = c
 	t.load.State = c.State
@@ -183,10 +186,19 @@
 	return chosen, len(s.eligible(w))
 }
 
+// sort brings order up to the targets.
+func (s *service) sort() {
+	s.order = s.order[:0]
+	for _, t := range s.targets {
+		s.order = append(s.order, t)
+	}
+	sort.Slice(s.order, func(i, j int) bool { return s.order[i].Target < s.order[j].Target })
+}
+
 // eligible returns the targets that may take work at all, in order.
 func (s *service) eligible(w Want) []*target {
-	out := make([]*target, 0, len(s.targets))
-	for _, t := range s.targets {
+	out := make([]*target, 0, len(s.order))
+	for _, t := range s.order {
 		if !t.Up || t.load.State == ident.TargetDraining || t.State == ident.TargetDraining {
 			continue
 		}
@@ -195,7 +207,6 @@
 		}
 		out = append(out, t)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Target < out[j].Target })
 	return out
 }
 
@@ -204,15 +215,28 @@
 func (p *Picker) selectable(now clock.Millis, s *service, w Want) []*target {
 	all := s.eligible(w)
 	floor := (len(all)*int(w.FloorPercent) + 99) / 100
-	rank := make(map[*target]int, len(all))
+	var byBadness [worstBadness + 1][]*target
+	good := all[:0]
 	for _, t := range all {
-		rank[t] = p.badness(now, t)
+		if bad := p.badness(now, t); bad > 0 {
+			byBadness[bad] = append(byBadness[bad], t)
+			continue
+		}
+		good = append(good, t)
 	}
-	sort.SliceStable(all, func(i, j int) bool { return rank[all[i]] < rank[all[j]] })
-	n := sort.Search(len(all), func(i int) bool { return rank[all[i]] > 0 })
-	return all[:max(n, min(floor, len(all)))]
+	for _, group := range byBadness {
+		for _, t := range group {
+			if len(good) < floor {
+				good = append(good, t)
+			}
+		}
+	}
+	return good
 }
 
+// worstBadness is that of a sick target behind a broken path.
+const worstBadness = 3
+
 // badness is 0 for a target to choose freely. A sick target that answers
 // slowly is better than one that cannot be reached.
 func (p *Picker) badness(now clock.Millis, t *target) int {
