Choose the test fleet's ports outside the system's own range

Ports were taken from the range that outgoing connections use, and free for TCP only; a connection of an earlier process took a chosen port before its daemon bound it. Seen again in 1 of 12 starts, with 'address already in use' in the log. Ruled out: a slow start and the membership; both are fine in the logs. A start that fails shows the end of the log.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -67,7 +67,9 @@
 
 // Fleet is a running deployment.
 type Fleet struct {
-	spec  Spec
+	spec Spec
+	// port is the last port given out.
+	port  int
 	Store *Process
 	// Targets and Daemons stand in pairs.
 	Targets []*Process
@@ -95,7 +97,7 @@
 }
 
 func (f *Fleet) startAll() error {
-	ports, err := freePorts(2)
+	ports, err := f.freePorts(2)
 	if err != nil {
 		return err
 	}
@@ -120,7 +122,7 @@
 
 // startPair starts a target and the daemon beside it.
 func (f *Fleet) startPair(region ident.Region, dc ident.DataCentre, n int) error {
-	ports, err := freePorts(6)
+	ports, err := f.freePorts(6)
 	if err != nil {
 		return err
 	}
@@ -269,17 +271,45 @@
 	return out
 }
 
-// freePorts returns loopback addresses that were free a moment ago. Each is
-// held until all are found, so that they differ.
-func freePorts(n int) ([]string, error) {
+const (
+	// firstPort and lastPort lie under the ports that the system gives to
+	// outgoing connections, so that none of those takes a chosen port before
+	// its process has started.
+	firstPort = 12_000
+	lastPort  = 32_000
+	// portStep spreads fleets of different processes over the range.
+	portStep = 101
+)
+
+// freePorts returns loopback addresses that are free for TCP and UDP.
+func (f *Fleet) freePorts(n int) ([]string, error) {
+	if f.port == 0 {
+		f.port = firstPort + os.Getpid()*portStep%(lastPort-firstPort)
+	}
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find free port")
+	for tries := 0; len(out) < n; tries++ {
+		if tries > lastPort-firstPort {
+			return nil, errors.Errorf("no %d free ports between %d and %d: end other processes", n, firstPort, lastPort)
+		}
+		if f.port++; f.port > lastPort {
+			f.port = firstPort
+		}
+		if address := fmt.Sprintf("127.0.0.1:%d", f.port); isFree(address) {
+			out = append(out, address)
 		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
 	}
 	return out, nil
 }
+
+func isFree(address string) bool {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer l.Close()
+	c, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return c.Close() == nil
+}
--- a/fleet/wait.go
+++ b/fleet/wait.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -16,8 +18,8 @@
 	deadline := time.Now().Add(readyTimeout)
 	for _, d := range f.Daemons {
 		for !f.isReady(d) {
-			if time.Now().After(deadline) {
-				return errors.Errorf("%s is not ready: look at its log in %s", d.Name, f.spec.Dir)
+			if time.Now().After(deadline) || d.hasEnded() {
+				return errors.Errorf("%s is not ready; its log ends with:\n%s", d.Name, f.logEnd(d))
 			}
 			time.Sleep(pollEvery)
 		}
@@ -25,6 +27,26 @@
 	return nil
 }
 
+func (p *Process) hasEnded() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// logEndBytes is how much of a log is shown.
+const logEndBytes = 2000
+
+func (f *Fleet) logEnd(p *Process) string {
+	b, err := os.ReadFile(filepath.Join(f.spec.Dir, p.Name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-logEndBytes):])
+}
+
 func (f *Fleet) isReady(d *Process) bool {
 	if _, err := GetJSON(d.Control, "/readyz", nil); err != nil {
 		return false
