One check for a missing key and one for an earlier life's claim

Seven places unpacked the same error and two compared instance and incarnation beside the holder's own check. A claim sorted all held slots twice to see whether one was lost; Observe now tells.

--- a/config/log.go
+++ b/config/log.go
@@ -222,8 +222,7 @@
 	if err == nil {
 		return record.DecodeChange(e.Value)
 	}
-	var missing *store.NotFoundError
-	if errors.As(err, &missing) {
+	if store.IsNotFound(err) {
 		return c, errors.Wrapf(cause, "change %s was not written when looked up; "+
 			"it may still arrive, so look at `chestnutlatch audit` before repeating", c.ID)
 	}
--- a/config/snap.go
+++ b/config/snap.go
@@ -66,8 +66,7 @@
 func readHead(ctx context.Context, st store.Store) (snapHead, store.Revision, error) {
 	var h snapHead
 	e, err := st.Get(ctx, snapHeadKey)
-	var missing *store.NotFoundError
-	if errors.As(err, &missing) {
+	if store.IsNotFound(err) {
 		return h, store.Absent, nil
 	}
 	if err != nil {
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -30,7 +30,7 @@
 	s.former = map[limit.Slot]bool{}
 	for slot := range limit.Slot(s.d.cfg.RateSlots) {
 		c, found := claims[SlotKey(slot)]
-		if found && c.Instance == s.d.instance && c.Incarnation < s.d.incarnation && !c.Released {
+		if found && s.holder.IsFormerSelf(c) && !c.Released {
 			s.former[slot] = true
 		}
 	}
@@ -45,17 +45,15 @@
 		return false
 	}
 	s.mu.Lock()
-	before, _ := s.holder.Held()
-	s.holder.Observe(asked, slot, c, found)
-	after, _ := s.holder.Held()
+	lost := s.holder.Observe(asked, slot, c, found)
 	next, write := s.holder.Next(s.d.clk.Now(), slot, s.preferred[slot])
-	if found && (c.Instance != s.d.instance || c.Incarnation == s.d.incarnation) {
+	if found && !s.holder.IsFormerSelf(c) {
 		// The slot is taken over, by this life or by another daemon.
 		delete(s.former, slot)
 	}
 	s.mu.Unlock()
 	if !write {
-		return len(before) != len(after)
+		return lost
 	}
 	return s.write(ctx, slot, rev, next)
 }
@@ -83,8 +81,7 @@
 	defer done()
 	var c limit.Claim
 	e, err := s.d.store.Get(ctx, SlotKey(slot))
-	var missing *store.NotFoundError
-	if errors.As(err, &missing) {
+	if store.IsNotFound(err) {
 		return c, store.Absent, false, nil
 	}
 	if err != nil {
--- a/daemon/report.go
+++ b/daemon/report.go
@@ -140,10 +140,9 @@
 	key := ReportPrefix + string(d.cfg.DataCentre)
 	want := store.Absent
 	e, err := d.store.Get(ctx, key)
-	var missing *store.NotFoundError
 	if err == nil {
 		want = e.Revision
-	} else if !errors.As(err, &missing) {
+	} else if !store.IsNotFound(err) {
 		return err
 	}
 	d.syncer.touched()
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
 	"chestnutlatch/limit"
@@ -136,8 +134,7 @@
 	defer done()
 	var l layout
 	e, err := s.d.store.Get(ctx, LayoutKey)
-	var missing *store.NotFoundError
-	if errors.As(err, &missing) {
+	if store.IsNotFound(err) {
 		value, err := json.Marshal(layout{Slots: s.d.cfg.RateSlots})
 		if err != nil {
 			return false
--- a/daemon/syncer.go
+++ b/daemon/syncer.go
@@ -345,9 +345,8 @@
 func (s *syncer) probeStore(ctx context.Context) {
 	call, done := context.WithTimeout(ctx, storeTimeout)
 	defer done()
-	var missing *store.NotFoundError
 	_, err := s.d.store.Get(call, config.LogKey(s.d.table.Revision()))
-	if err == nil || errors.As(err, &missing) {
+	if err == nil || store.IsNotFound(err) {
 		s.touched()
 	}
 }
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -104,22 +104,24 @@
 	return slots, terms
 }
 
-// Observe takes note of a slot's record as read at the given time. asked is
-// the time before the read was sent.
-func (h *Holder) Observe(asked clock.Millis, slot Slot, c Claim, found bool) {
+// Observe takes note of a slot's record as read at the given time, and reports
+// whether this daemon has lost the slot by it. asked is the time before the
+// read was sent.
+func (h *Holder) Observe(asked clock.Millis, slot Slot, c Claim, found bool) (lost bool) {
 	old, known := h.seen[slot]
 	if !known || old.Claim != c || old.Found != found {
 		h.seen[slot] = Seen{Claim: c, Found: found, Since: asked}
 	}
 	s := h.held[slot]
 	if s == nil {
-		return
+		return false
 	}
 	if !found || !h.isMine(c) || c.Released {
 		delete(h.held, slot)
-		return
+		return true
 	}
 	s.confirmed = true
+	return false
 }
 
 func (h *Holder) isMine(c Claim) bool {
@@ -140,7 +142,7 @@
 		// A claim of mine that is not held was written with its answer lost.
 		return mine, s == nil || !s.confirmed || s.until-now < h.cfg.Lease*3/4
 	}
-	if !h.isFree(now, seen) || !preferred && !h.isFormerSelf(seen.Claim) {
+	if !h.isFree(now, seen) || !preferred && !h.IsFormerSelf(seen.Claim) {
 		return Claim{}, false
 	}
 	mine.Term++
@@ -149,16 +151,16 @@
 
 // isFree reports whether the recorded holder can no longer grant.
 func (h *Holder) isFree(now clock.Millis, s Seen) bool {
-	if !s.Found || s.Claim.Released || h.isFormerSelf(s.Claim) {
+	if !s.Found || s.Claim.Released || h.IsFormerSelf(s.Claim) {
 		return true
 	}
 	return now-s.Since > h.cfg.Lease+h.cfg.ClockError
 }
 
-// isFormerSelf reports whether an earlier life of this instance holds the
+// IsFormerSelf reports whether an earlier life of this instance holds the
 // claim. The platform runs one process in an instance's slot, and a paused
 // one reads its claim before it grants again.
-func (h *Holder) isFormerSelf(c Claim) bool {
+func (h *Holder) IsFormerSelf(c Claim) bool {
 	return c.Instance == h.cfg.Instance && c.Incarnation < h.cfg.Incarnation
 }
 
--- a/stand/server.go
+++ b/stand/server.go
@@ -26,8 +26,7 @@
 // Get implements kvapi.KVServer.
 func (s *StoreServer) Get(ctx context.Context, r *kvapi.GetRequest) (*kvapi.GetReply, error) {
 	e, err := s.mem.Get(ctx, r.GetKey())
-	var missing *store.NotFoundError
-	if errors.As(err, &missing) {
+	if store.IsNotFound(err) {
 		return &kvapi.GetReply{}, nil
 	}
 	if err != nil {
--- a/store/store.go
+++ b/store/store.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"fmt"
+
+	"github.com/go-faster/errors"
 )
 
 // Revision is the store's own write counter.
@@ -69,6 +71,12 @@
 	return fmt.Sprintf("store key %q does not exist: check the name with the list command", e.Key)
 }
 
+// IsNotFound reports whether an error says that a key does not exist.
+func IsNotFound(err error) bool {
+	var missing *NotFoundError
+	return errors.As(err, &missing)
+}
+
 // ConflictError reports a compare-and-swap that lost.
 type ConflictError struct {
 	Key     string
