--- a/admin/serve/serve.go
+++ b/admin/serve/serve.go
@@ -13,6 +13,7 @@
 	"chestnutlatch/clock"
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/daemon"
+	"chestnutlatch/platform"
 	"chestnutlatch/setup"
 	"chestnutlatch/store"
 )
@@ -59,11 +60,7 @@
 	log := hclog.New(&hclog.LoggerOptions{
 		Name: "chestnutlatch", Level: cfg.LogLevel, JSONFormat: cfg.LogJSON, Output: opts.Factory.Streams.Err,
 	}).With("instance", cfg.Instance)
-	st, err := store.Dial(cfg.StoreAddress)
-	if err != nil {
-		return err
-	}
-	d, err := daemon.New(cfg, clock.NewSystem(), log, st)
+	d, err := newDaemon(cfg, log)
 	if err != nil {
 		return err
 	}
@@ -71,3 +68,16 @@
 	defer stop()
 	return d.Run(ctx)
 }
+
+// newDaemon makes a daemon for the platform that the settings name.
+func newDaemon(cfg *setup.Settings, log hclog.Logger) (*daemon.Daemon, error) {
+	clk := clock.NewSystem()
+	if cfg.Adapter != "" {
+		return daemon.NewOn(platform.Adapter(), cfg, clk, log, platform.NewStore(cfg.StoreAddress))
+	}
+	st, err := store.Dial(cfg.StoreAddress)
+	if err != nil {
+		return nil, err
+	}
+	return daemon.New(cfg, clk, log, st)
+}
--- a/choose/picker.go
+++ b/choose/picker.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
@@ -38,6 +39,8 @@
 	State    ident.TargetState
 	InFlight int
 	Queued   int
+	// Suspicion is the guard's belief that the target fails, 0 to 1.
+	Suspicion float64
 }
 
 type target struct {
@@ -46,6 +49,8 @@
 	reported clock.Millis
 	// mine counts this daemon's own requests under way.
 	mine int
+	// cold is when the target's slow start ends.
+	cold clock.Millis
 }
 
 type service struct {
@@ -67,6 +72,8 @@
 	mu       sync.RWMutex
 	services map[ident.Service]*service
 
+	retries atomic.Pointer[Retries]
+
 	pathMu sync.RWMutex
 	paths  map[ident.Instance]*path
 }
@@ -74,11 +81,13 @@
 // New returns a picker for a daemon in a data centre. Its choices follow from
 // the seed.
 func New(dc ident.DataCentre, region ident.Region, seed uint64) *Picker {
-	return &Picker{
+	p := &Picker{
 		dc: dc, region: region, seed: seed,
 		services: map[ident.Service]*service{},
 		paths:    map[ident.Instance]*path{},
 	}
+	p.SetRetries(DefaultRetries())
+	return p
 }
 
 func (p *Picker) service(id ident.Service, create bool) *service {
@@ -148,6 +157,8 @@
 	FloorPercent uint32
 	// Skip holds the targets tried before.
 	Skip []ident.Target
+	// OneTime tells that the request cannot be repeated.
+	OneTime bool
 	// IsDrained reports the operators' word on a target; nil means none.
 	IsDrained func(ident.Target) bool
 }
--- a/choose/picker_test.go
+++ b/choose/picker_test.go
@@ -166,7 +166,7 @@
 		}
 	}
 	const seconds = requests / 1000
-	if most := requests/retryPart + retryPerSecond*seconds + maxRetries; retries > most {
+	if most := requests/10 + 1*seconds + 20; retries > most {
 		t.Errorf("%d retries for %d requests, want at most %d", retries, requests, most)
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 	mrand "math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,6 +24,7 @@
 	"chestnutlatch/guard"
 	"chestnutlatch/ident"
 	"chestnutlatch/limit"
+	"chestnutlatch/member"
 	"chestnutlatch/meter"
 	"chestnutlatch/once"
 	"chestnutlatch/peers"
@@ -42,6 +44,18 @@
 	// hardBodyFactor times max_request_bytes is what is read of a body that is
 	// too large, so that its sender gets an answer and not a reset.
 	hardBodyFactor = 4
+	// maxHead is the largest head of a request, in bytes.
+	maxHead = 16 << 10
+	// beatsMissed is the number of heartbeats after which a target is silent;
+	// they may come seconds late.
+	beatsMissed = 6
+	// refuseAt is the suspicion from which a guard sends one-time actions
+	// elsewhere: failure is then more likely than not.
+	refuseAt = 0.5
+	// keepAttempts is how long a one-time request is remembered after its
+	// deadline; copies are not delayed longer than connections live through a
+	// cut.
+	keepAttempts = 30 * clock.Second
 	// pauseLimit is the gap after which a daemon counts as paused.
 	pauseLimit = 3 * clock.Second
 )
@@ -66,20 +80,50 @@
 	pool        *ants.Pool
 	vitals      *vitals
 
+	// fleet is members or roster.
+	fleet   fleet
 	members *members
 	slots   *slots
 	syncer  *syncer
 
+	// platform is nil where the daemons keep their own membership and the
+	// product's own log of changes.
+	platform *Platform
+	roster   *rosterFleet
+	docs     *docs
+	near     *near
+	shares   *limit.Shares
+	words    storeWords
+	// stopping tells that a planned stop has begun.
+	stopping atomic.Bool
+
 	inner    *grpc.Server
 	callers  *fasthttp.Server
 	operator *fasthttp.Server
+	ready    *fasthttp.Server
+	announce *fasthttp.Server
 	// superseded is closed when a newer incarnation runs on this instance.
 	superseded chan struct{}
 	once       sync.Once
 }
 
+// fleet is what a daemon knows of the others, however it learns it.
+type fleet interface {
+	entry.Fleet
+	count() int
+	setTargets(targets []member.Target)
+	tellVitals(list []member.Vital)
+	leave()
+}
+
 // New returns a daemon that does nothing before Run.
 func New(cfg *setup.Settings, clk clock.Clock, log hclog.Logger, st store.Store) (*Daemon, error) {
+	return NewOn(nil, cfg, clk, log, st)
+}
+
+// NewOn returns a daemon for a platform with an interface of its own; nil
+// stands for the product's own interface.
+func NewOn(p *Platform, cfg *setup.Settings, clk clock.Clock, log hclog.Logger, st store.Store) (*Daemon, error) {
 	creds, err := innerCredentials(cfg)
 	if err != nil {
 		return nil, err
@@ -105,9 +149,14 @@
 		pool:        pool,
 		vitals:      newVitals(),
 		superseded:  make(chan struct{}),
+		platform:    p,
 	}
 	d.guard = d.newGuard(secret)
 	d.members = newMembers(d, rnd)
+	d.fleet = d.members
+	if p != nil {
+		d.settleOn(rnd)
+	}
 	d.purse = limit.NewPurse(cfg.RateSlots, d.members.slotDistance)
 	d.slots = newSlots(d)
 	d.syncer = newSyncer(d)
@@ -120,6 +169,20 @@
 	return d, nil
 }
 
+// settleOn makes what a daemon on a platform uses in place of the membership,
+// the log of changes and the rate slots.
+func (d *Daemon) settleOn(rnd *mrand.Rand) {
+	d.roster = newRosterFleet(d, rnd)
+	d.fleet = d.roster
+	d.docs = newDocs(d)
+	d.near = newNear(d)
+	d.shares = limit.NewShares(limit.ShareConfig{
+		Parts: d.cfg.Rates.Parts, Window: d.cfg.Rates.Window, Overshoot: d.cfg.Rates.Overshoot, Slack: d.cfg.Rates.Slack,
+	})
+	d.ready = &fasthttp.Server{Handler: d.serveReadiness, NoDefaultServerHeader: true}
+	d.announce = &fasthttp.Server{Handler: d.serveAnnouncements, NoDefaultServerHeader: true}
+}
+
 func randomness() (seed uint64, secret []byte, err error) {
 	secret = make([]byte, secretBytes)
 	if _, err := rand.Read(secret); err != nil {
@@ -137,10 +200,19 @@
 		Instance: d.instance, Incarnation: d.incarnation, Secret: secret,
 		TTL: d.cfg.TicketTTL, MaxOpen: d.cfg.MaxTickets, MaxKeptBytes: d.cfg.KeptBytes,
 	})
-	g := guard.New(guard.Config{QueueLimit: d.cfg.QueueLimit, MaxAnswerBytes: d.cfg.MaxAnswerBytes},
-		guard.Deps{
-			Clock: d.clk, Log: d.log.Named("guard"), Peers: d.vitals, Pool: d.pool, Home: home, IsDrained: d.table.Draining,
+	cfg := guard.Config{QueueLimit: d.cfg.QueueLimit, MaxAnswerBytes: d.cfg.MaxAnswerBytes, Incarnation: d.incarnation}
+	deps := guard.Deps{
+		Clock: d.clk, Log: d.log.Named("guard"), Peers: d.vitals, Pool: d.pool, Home: home, IsDrained: d.table.Draining,
+	}
+	if d.platform != nil {
+		cfg.Dialect = d.platform.Dialect
+		cfg.AnnounceLife = d.cfg.BeatEvery * beatsMissed
+		cfg.RefuseAt = refuseAt
+		deps.Attempts = once.NewAttempts(once.AttemptConfig{
+			Keep: keepAttempts, MaxOpen: d.cfg.MaxTickets, MaxKeptBytes: d.cfg.KeptBytes,
 		})
+	}
+	g := guard.New(cfg, deps)
 	for _, t := range d.cfg.Targets {
 		g.Add(guard.Spec{ID: t.ID, Service: t.Service, Address: t.Address, Slots: t.Slots})
 	}
@@ -148,21 +220,30 @@
 }
 
 func (d *Daemon) newEntry() *entry.Entry {
-	return entry.New(entry.Deps{
+	deps := entry.Deps{
 		Instance: d.instance, Incarnation: d.incarnation,
 		Clock: d.clk, Log: d.log.Named("entry"), Meter: d.meter,
 		Table: d.table, Picker: d.picker, Purse: d.purse, Guard: d.guard,
-		Peers: d.peers, Fleet: d.members, Drawer: d.slots, Pool: d.pool,
-		MaxBody: d.cfg.MaxRequestBytes,
-	})
+		Peers: d.peers, Fleet: d.fleet, Drawer: d.slots, Pool: d.pool,
+		MaxBody: d.cfg.MaxRequestBytes, Costs: choose.DefaultCosts(),
+	}
+	if d.platform != nil {
+		deps.Dialect = d.platform.Dialect
+		deps.Service = d.cfg.Service
+		deps.Shares = d.shares
+	}
+	return entry.New(deps)
 }
 
 func (d *Daemon) newCallers() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:               d.entry.Handle,
+		Handler:               d.handle,
 		ErrorHandler:          d.entry.OnError,
 		Name:                  "chestnutlatch",
 		NoDefaultServerHeader: true,
+		NoDefaultContentType:  d.platform != nil,
+		NoDefaultDate:         d.platform != nil,
+		ReadBufferSize:        maxHead,
 		MaxRequestBodySize:    hardBodyFactor * d.cfg.MaxRequestBytes,
 		ReadTimeout:           d.cfg.ReadTimeout.Duration(),
 		IdleTimeout:           time.Minute,
@@ -172,6 +253,15 @@
 	}
 }
 
+// handle serves a caller. During a planned stop it tells callers to connect
+// anew.
+func (d *Daemon) handle(c *fasthttp.RequestCtx) {
+	d.entry.Handle(c)
+	if d.stopping.Load() {
+		c.SetConnectionClose()
+	}
+}
+
 // callerLog writes the HTTP server's complaints at debug level.
 type callerLog struct {
 	log hclog.Logger
@@ -185,7 +275,7 @@
 func (d *Daemon) registerGauges() {
 	d.meter.Gauge("chestnutlatch_config_revision", func() float64 { return float64(d.table.Revision()) })
 	d.meter.Gauge("chestnutlatch_config_bytes", func() float64 { return float64(d.table.Bytes()) })
-	d.meter.Gauge("chestnutlatch_members", func() float64 { return float64(d.members.count()) })
+	d.meter.Gauge("chestnutlatch_members", func() float64 { return float64(d.fleet.count()) })
 	d.meter.Gauge("chestnutlatch_targets", func() float64 { return float64(d.picker.Count()) })
 	d.meter.Gauge("chestnutlatch_rate_slots_held", func() float64 { return float64(d.slots.count()) })
 	d.meter.Gauge("chestnutlatch_tickets_open", func() float64 {
@@ -217,7 +307,13 @@
 	}
 }
 
+// serverCount is the number of servers that may fail.
+const serverCount = 5
+
 type listeners struct {
+	ready    net.Listener
+	announce net.Listener
+
 	callers  net.Listener
 	inner    net.Listener
 	operator net.Listener
@@ -239,13 +335,22 @@
 	if l.members, err = net.ListenPacket("udp", d.cfg.MemberAddress); err != nil {
 		return nil, errors.Wrap(err, "member_address: free the port or choose another")
 	}
+	if d.platform == nil {
+		return &l, nil
+	}
+	if l.ready, err = net.Listen("tcp", d.cfg.ReadyAddress); err != nil {
+		return nil, errors.Wrap(err, "ready_address: free the port or choose another")
+	}
+	if l.announce, err = net.Listen("tcp", d.cfg.AnnounceAddress); err != nil {
+		return nil, errors.Wrap(err, "announce_address: free the port or choose another")
+	}
 	return &l, nil
 }
 
 // start runs the servers and the loops; the channel tells of a server that
 // failed.
 func (d *Daemon) start(ctx context.Context, l *listeners) <-chan error {
-	failed := make(chan error, 3)
+	failed := make(chan error, serverCount)
 	run := func(name string, serve func() error) {
 		if err := serve(); err != nil {
 			failed <- errors.Wrap(err, name)
@@ -259,11 +364,19 @@
 		}
 		return d.callers.Serve(l.callers)
 	})
+	go d.tickGuard(ctx)
+	if d.platform != nil {
+		go run("readiness server", func() error { return d.ready.Serve(l.ready) })
+		go run("announcement server", func() error { return d.announce.Serve(l.announce) })
+		d.near.start(ctx, l.members)
+		go d.roster.run(ctx)
+		go d.docs.run(ctx)
+		return failed
+	}
 	d.members.start(ctx, l.members)
 	go d.syncer.run(ctx)
 	go d.slots.run(ctx)
 	go d.report(ctx)
-	go d.tickGuard(ctx)
 	return failed
 }
 
@@ -281,7 +394,7 @@
 	defer tell.Stop()
 	sweep := time.NewTicker(sweepTick)
 	defer sweep.Stop()
-	d.members.setTargets(d.guard.Infos())
+	d.fleet.setTargets(d.guard.Infos())
 	for {
 		select {
 		case <-ctx.Done():
@@ -294,10 +407,10 @@
 			own := d.guard.Vitals(now)
 			// Local targets of one service are each other's peers, too.
 			d.vitals.take(now, own)
-			d.members.tellVitals(own)
+			d.fleet.tellVitals(own)
 		case <-tick.C:
 			if d.guard.Tick(d.clk.Now()) {
-				d.members.setTargets(d.guard.Infos())
+				d.fleet.setTargets(d.guard.Infos())
 			}
 		}
 	}
@@ -308,9 +421,12 @@
 	d.log.Info("daemon is stopping", "timeout_ms", int64(d.cfg.StopTimeout))
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.StopTimeout.Duration())
 	defer cancel()
+	d.stopping.Store(true)
 	d.guard.Drain()
-	d.members.setTargets(d.guard.Infos())
-	d.slots.release(ctx)
+	d.fleet.setTargets(d.guard.Infos())
+	if d.platform == nil {
+		d.slots.release(ctx)
+	}
 	d.settle(ctx)
 	if err := d.callers.ShutdownWithContext(ctx); err != nil {
 		d.log.Warn("callers were cut off", "error", err)
@@ -318,7 +434,7 @@
 	for !d.guard.IsIdle() && ctx.Err() == nil {
 		time.Sleep(leaveStep)
 	}
-	d.members.leave()
+	d.fleet.leave()
 	d.stopInner(ctx)
 	d.log.Info("daemon stopped")
 }
@@ -328,12 +444,24 @@
 	// settleTime lets peers learn that the targets take no new work before
 	// the callers' port closes.
 	settleTime = 700 * time.Millisecond
+	// missedQuestions is the time in which the platform misses a stopping
+	// daemon's readiness twice and sends no more callers.
+	missedQuestions = 2500 * time.Millisecond
 )
 
+// settleSpan is longer where callers learn of the stop by two missed questions,
+// a second apart.
+func (d *Daemon) settleSpan() time.Duration {
+	if d.platform != nil {
+		return missedQuestions
+	}
+	return settleTime
+}
+
 func (d *Daemon) settle(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(settleTime):
+	case <-time.After(d.settleSpan()):
 	}
 }
 
--- a/daemon/inner.go
+++ b/daemon/inner.go
@@ -28,7 +28,7 @@
 	if to == "" || to == s.d.instance {
 		return s.d.guard.Forward(ctx, req), nil
 	}
-	address, _, _ := s.d.members.Locate(to)
+	address, _, _ := s.d.fleet.Locate(to)
 	if address == "" {
 		return nil, status.Errorf(codes.NotFound, "instance %s is not known here: ask another daemon", to)
 	}
@@ -43,7 +43,7 @@
 
 // Ping implements wire.InnerServer.
 func (s *innerServer) Ping(context.Context, *wire.PingRequest) (*wire.PingReply, error) {
-	return &wire.PingReply{}, nil
+	return &wire.PingReply{Incarnation: uint64(s.d.incarnation), Revision: uint64(s.d.table.Revision())}, nil
 }
 
 // Tickets implements wire.InnerServer.
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -72,7 +72,7 @@
 		c.Error("no configuration yet: check the store or a peer", fasthttp.StatusServiceUnavailable)
 		return
 	}
-	if r := d.members.Trust(d.clk.Now()); r != nil {
+	if r := d.fleet.Trust(d.clk.Now()); r != nil {
 		c.Error(r.Message, fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -99,14 +99,14 @@
 		}
 		if d.guard.Announce(guard.Spec{ID: body.Target, Service: body.Service, Address: body.Address, Slots: body.Slots}) {
 			d.log.Info("target announced itself", "target", body.Target, "service", body.Service)
-			d.members.setTargets(d.guard.Infos())
+			d.fleet.setTargets(d.guard.Infos())
 		}
 	case fasthttp.MethodDelete:
 		if !d.guard.Leave(body.Target) {
 			c.Error("target is not known here: announce it with PUT first", fasthttp.StatusNotFound)
 			return
 		}
-		d.members.setTargets(d.guard.Infos())
+		d.fleet.setTargets(d.guard.Infos())
 	default:
 		c.Error("use PUT to announce and DELETE to leave", fasthttp.StatusMethodNotAllowed)
 	}
--- a/daemon/syncer.go
+++ b/daemon/syncer.go
@@ -12,6 +12,7 @@
 	"chestnutlatch/clock"
 	"chestnutlatch/config"
 	"chestnutlatch/ident"
+	"chestnutlatch/peers"
 	"chestnutlatch/record"
 	"chestnutlatch/store"
 	"chestnutlatch/table"
@@ -197,34 +198,42 @@
 }
 
 func (s *syncer) snapshotFrom(ctx context.Context, address string) error {
-	client, err := s.d.peers.Get(address)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	b, err := readSnapshot(ctx, s.d.peers, address)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
+	if !s.d.table.Install(b) {
+		return errors.New("peer's configuration is not newer")
+	}
+	s.loaded(address)
+	return nil
+}
+
+// readSnapshot reads a peer's whole configuration.
+func readSnapshot(ctx context.Context, pool *peers.Pool, address string) (*table.Builder, error) {
+	client, err := pool.Get(address)
+	if err != nil {
+		return nil, err
+	}
 	stream, err := client.Snapshot(ctx, &wire.SnapshotRequest{})
 	if err != nil {
-		return errors.Wrap(err, "snapshot")
+		return nil, errors.Wrap(err, "snapshot")
 	}
 	b := table.NewBuilder()
 	for {
 		chunk, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
-			break
+			return b, nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "snapshot")
+			return nil, errors.Wrap(err, "snapshot")
 		}
 		if err := b.Add(ident.Revision(chunk.GetRevision()), chunk.GetRecords()); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	if !s.d.table.Install(b) {
-		return errors.New("peer's configuration is not newer")
-	}
-	s.loaded(address)
-	return nil
 }
 
 // inForce tells the fleet of the revision now in force.
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -23,6 +23,7 @@
 
 	"chestnutlatch/peers"
 	"chestnutlatch/setup"
+	"chestnutlatch/table"
 	"chestnutlatch/wire"
 )
 
@@ -95,7 +96,7 @@
 		t.Fatal(err)
 	}
 	srv := grpc.NewServer(peers.ServerOptions(ours.creds(t), "right")...)
-	wire.RegisterInnerServer(srv, &innerServer{})
+	wire.RegisterInnerServer(srv, &innerServer{d: &Daemon{table: table.New()}})
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(srv.Stop)
 	tests := []struct {
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,243 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"chestnutlatch/choose"
+	"chestnutlatch/clock"
+	"chestnutlatch/fault"
+	"chestnutlatch/guard"
+	"chestnutlatch/ident"
+	"chestnutlatch/record"
+	"chestnutlatch/wire"
+)
+
+const (
+	// maxGuards bounds the guards asked for one request. Most of them say at
+	// once that they do not take it.
+	maxGuards = 8
+	// askPause is the time between two questions about a lost answer.
+	askPause = 150 * time.Millisecond
+	// sparePart is the part of a route's objective that a request waits at
+	// one target before another one is tried, one in sparePart.
+	sparePart = 4
+	// retryCapacity is what a caller waits for a service without room.
+	retryCapacity = 400 * clock.Millisecond
+)
+
+// serveAttempt serves a request that its caller named.
+func (e *Entry) serveAttempt(ctx context.Context, c *fasthttp.RequestCtx, r *request) *fault.Refusal {
+	if refusal := e.takeShare(r); refusal != nil {
+		return refusal
+	}
+	r.route.Service = e.splits.Service(r.route)
+	r.out.Service = string(r.route.Service)
+	r.out.Attempt = string(c.Request.Header.Peek(e.Dialect.Attempt))
+	r.out.OriginService = string(e.Service)
+	r.out.OneTime = r.route.OneTime
+	if r.route.Open {
+		// Open routes are calls that work under way waits for.
+		r.out.Priority = uint32(ident.PriorityUrgent)
+	}
+	if r.route.OneTime && r.out.Attempt == "" {
+		return fault.NotRun(fault.Malformed, "a one-time request needs an id: send it in %s", e.Dialect.Attempt)
+	}
+	reply, refusal := e.dispatch(ctx, r)
+	if refusal != nil {
+		return refusal
+	}
+	writeAnswer(c, reply.GetAnswer())
+	return nil
+}
+
+// takeShare spends one request of this daemon's part of the team's rate.
+func (e *Entry) takeShare(r *request) *fault.Refusal {
+	if r.route.Open || r.team.Rate == 0 || e.Shares == nil {
+		return nil
+	}
+	wait, ok := e.Shares.Take(r.began, r.team)
+	if ok {
+		return nil
+	}
+	return fault.NotRun(fault.OverRate, "team %s is over its rate of %d/s and burst of %d: wait as told, or ask for a higher rate",
+		r.team.ID, r.team.Rate, r.team.Burst).After(wait)
+}
+
+// trail is what is known of a request after some guards were asked.
+type trail struct {
+	// arrived counts the targets that the request reached or may have reached.
+	arrived int
+	asked   int
+	// reply is the last answer that another target may better.
+	reply *wire.ForwardReply
+	last  *fault.Refusal
+	// suspects were refused since their targets probably fail.
+	suspects []ident.Target
+}
+
+// dispatch finds a target that serves the request. An idempotent one is sent
+// again after a failure while the route and the retry budget allow it; a
+// one-time one moves on only when it certainly has not run.
+func (e *Entry) dispatch(ctx context.Context, r *request) (*wire.ForwardReply, *fault.Refusal) {
+	e.Picker.CountRequest(e.Clock.Now(), r.route.Service)
+	want := choose.Want{Service: r.route.Service, OneTime: r.route.OneTime, IsDrained: e.Table.Draining}
+	var t trail
+	for t.asked < maxGuards && ctx.Err() == nil {
+		c, ok := e.Picker.Best(e.Clock.Now(), want, e.Costs)
+		if !ok && len(t.suspects) > 0 && !r.out.LastResort {
+			// Every target is suspect: the least one is better than none.
+			r.out.LastResort = true
+			want.Skip = except(want.Skip, t.suspects)
+			continue
+		}
+		if !ok || t.arrived > 0 && !e.mayRepeat(r, &t) {
+			if ok {
+				e.Picker.Done(r.route.Service, c.Target)
+			}
+			break
+		}
+		want.Skip = append(want.Skip, c.Target)
+		if e.attempt(ctx, r, c, &t) {
+			return t.reply, t.last
+		}
+	}
+	if t.reply != nil {
+		return t.reply, nil
+	}
+	return nil, e.verdict(ctx, r, t.last)
+}
+
+func except(list, drop []ident.Target) []ident.Target {
+	out := list[:0:0]
+	for _, id := range list {
+		found := false
+		for _, d := range drop {
+			found = found || id == d
+		}
+		if !found {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// defaultAttempts bounds the targets of a request if the route does not.
+const defaultAttempts = 3
+
+// mayRepeat reports whether a request that reached a target may go to another.
+func (e *Entry) mayRepeat(r *request, t *trail) bool {
+	most := int(r.route.Attempts)
+	if most == 0 {
+		most = defaultAttempts
+	}
+	if t.arrived >= most || !e.Picker.MayRetry(e.Clock.Now(), r.route.Service) {
+		return false
+	}
+	e.Meter.Retries.Inc()
+	return true
+}
+
+// attempt asks one guard and reports whether its word is final.
+func (e *Entry) attempt(ctx context.Context, r *request, c choose.Candidate, t *trail) bool {
+	defer e.Picker.Done(r.route.Service, c.Target)
+	t.asked++
+	now := e.Clock.Now()
+	r.out.Target = string(c.Target)
+	r.out.TimeoutMs = uint32(max(r.deadline-now, 1))
+	r.out.SpareMs = uint32(e.spare(r))
+	r.out.VoidOnly = false
+	reply, err := e.link.call(ctx, c.Instance, c.Address, r.out)
+	if err != nil {
+		e.Log.Debug("guard not reached", "id", r.out.GetAttempt(), "target", c.Target, "at", c.Instance, "error", err)
+		reply, err = e.recover(ctx, r, c, err)
+	}
+	if err != nil {
+		r.unknown = true
+		t.arrived++
+		t.last = e.lost(ctx, c)
+		return r.route.OneTime
+	}
+	e.takeReport(r.route.Service, reply)
+	if reply.GetRefusal() == nil {
+		t.arrived++
+		t.reply, t.last = reply, nil
+		return r.route.OneTime || !isServerError(reply)
+	}
+	return e.weigh(r, c, t, reply)
+}
+
+// weigh takes in a guard's refusal and reports whether it is final.
+func (e *Entry) weigh(r *request, c choose.Candidate, t *trail, reply *wire.ForwardReply) bool {
+	refusal := guard.FromWire(reply.GetRefusal())
+	t.last = refusal
+	if reply.GetArrived() {
+		t.arrived++
+	}
+	switch {
+	case refusal.Outcome == ident.OutcomeUnknown:
+		r.unknown = true
+		return r.route.OneTime
+	case refusal.Kind == fault.Suspect:
+		t.suspects = append(t.suspects, c.Target)
+	}
+	return false
+}
+
+// spare is how long the request may wait at one target.
+func (e *Entry) spare(r *request) clock.Millis {
+	return max(objectiveOf(r.route)/sparePart, 1)
+}
+
+// recover asks the guard of a one-time request for its answer after the path
+// was lost. The guard holds the answer, or voids the request.
+func (e *Entry) recover(ctx context.Context, r *request, c choose.Candidate, lost error) (*wire.ForwardReply, error) {
+	if !r.route.OneTime || c.Instance == e.Instance {
+		return nil, lost
+	}
+	_, inc, _ := e.Fleet.Locate(c.Instance)
+	r.out.HomeIncarnation = uint64(inc)
+	r.out.VoidOnly = true
+	for ctx.Err() == nil {
+		e.Peers.Forget(c.Address)
+		reply, err := e.link.call(ctx, c.Instance, c.Address, r.out)
+		if err == nil {
+			return reply, nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(askPause):
+		}
+	}
+	return nil, lost
+}
+
+// lost is the refusal of a request whose guard does not answer.
+func (e *Entry) lost(ctx context.Context, c choose.Candidate) *fault.Refusal {
+	if ctx.Err() != nil {
+		return fault.Unknown(fault.DeadlineExceeded, "no answer in time: allow more time with %s", e.Dialect.Timeout)
+	}
+	return fault.Unknown(fault.PathFailed, "instance %s cannot be reached: repeat the request", c.Instance)
+}
+
+// verdict makes the refusal true for all guards together.
+func (e *Entry) verdict(ctx context.Context, r *request, last *fault.Refusal) *fault.Refusal {
+	if ctx.Err() != nil && (last == nil || last.Kind != fault.Canceled) {
+		last = fault.NotRun(fault.DeadlineExceeded, "no answer in time: allow more time with %s", e.Dialect.Timeout)
+	}
+	refusal := e.lastWord(r, last)
+	if refusal.Outcome == ident.OutcomeNotRun && refusal.RetryAfter == 0 {
+		refusal.RetryAfter = retryCapacity
+	}
+	return refusal
+}
+
+// objectiveOf returns the time in which an answer is worth most.
+func objectiveOf(r record.Route) clock.Millis {
+	if r.Objective > 0 {
+		return r.Objective
+	}
+	return r.Timeout
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,17 +61,37 @@
 	Pool        *ants.Pool
 	// MaxBody bounds the body of a request, in bytes.
 	MaxBody int
+	// Dialect names the headers of callers; the zero value is the product's
+	// own interface.
+	Dialect guard.Dialect
+	// Service is the service beside this daemon, for calls between services.
+	Service ident.Service
+	// Shares admits requests against this daemon's part of the teams' rates;
+	// nil draws tokens from rate slots.
+	Shares Admitter
+	// Costs weigh the targets of a request.
+	Costs choose.Costs
+}
+
+// Admitter keeps the teams' rates without a call.
+type Admitter interface {
+	// Take spends one request, or returns how long the team should wait.
+	Take(now clock.Millis, t record.Team) (wait clock.Millis, ok bool)
 }
 
 // Entry serves callers. It is safe for concurrent use.
 type Entry struct {
 	Deps
-	link *link
+	link   *link
+	splits *choose.Splitter
 }
 
 // New returns an entry.
 func New(d Deps) *Entry {
-	e := &Entry{Deps: d}
+	if d.Dialect == (guard.Dialect{}) {
+		d.Dialect = guard.OwnDialect()
+	}
+	e := &Entry{Deps: d, splits: choose.NewSplitter(uint64(d.Incarnation))}
 	e.link = newLink(d)
 	return e
 }
@@ -81,6 +101,8 @@
 	route  record.Route
 	team   record.Team
 	ticket string
+	// began is when the request had been read.
+	began clock.Millis
 	// unknown tells that an attempt may have reached a target.
 	unknown bool
 	out     *wire.ForwardRequest
@@ -92,7 +114,7 @@
 func (e *Entry) Handle(c *fasthttp.RequestCtx) {
 	began := time.Now()
 	defer func() { e.Meter.Duration.UpdateDuration(began) }()
-	if string(c.Path()) == ticketsPath {
+	if !e.byAttempt() && string(c.Path()) == ticketsPath {
 		e.handleTickets(c)
 		return
 	}
@@ -107,9 +129,12 @@
 	e.Meter.Served.Inc()
 }
 
+// byAttempt reports whether callers name their attempts themselves.
+func (e *Entry) byAttempt() bool { return e.Dialect.Attempt != "" }
+
 func (e *Entry) refuse(c *fasthttp.RequestCtx, r *fault.Refusal) {
 	e.Meter.Refused(r)
-	writeRefusal(c, r, "")
+	e.writeRefusal(c, r, "")
 }
 
 // admit checks route and key and prepares the forward request.
@@ -120,15 +145,19 @@
 		return nil, certainOnlyWithout(ticket, fault.NotRun(fault.TooLarge,
 			"request body has %d bytes, max_request_bytes is %d: send less", n, e.MaxBody))
 	}
-	route, team, refusal := e.authorize(c, string(c.Path()), now)
+	path, refusal := e.sentPath(c)
 	if refusal != nil {
 		return nil, certainOnlyWithout(ticket, refusal)
 	}
-	timeout, refusal := timeoutOf(c, route.Timeout)
+	route, team, refusal := e.authorize(c, path, now)
 	if refusal != nil {
 		return nil, certainOnlyWithout(ticket, refusal)
 	}
-	r := &request{route: route, team: team, deadline: now + timeout}
+	timeout, refusal := e.timeoutOf(c, route.Timeout)
+	if refusal != nil {
+		return nil, certainOnlyWithout(ticket, refusal)
+	}
+	r := &request{route: route, team: team, began: now, deadline: now + timeout}
 	if route.OneTime {
 		r.ticket = ticket
 	}
@@ -153,7 +182,7 @@
 	}
 	route, ok := e.Table.Match(hostOf(c), path)
 	if !ok {
-		return route, record.Team{}, fault.NotRun(fault.NoRoute, "no route matches host %q and path %q: check the address", hostOf(c), path)
+		return route, record.Team{}, fault.NotRun(fault.NoRoute, "no route matches this host and path: check the address")
 	}
 	if route.Open {
 		return route, record.Team{}, nil
@@ -161,6 +190,12 @@
 	if r := e.Fleet.Trust(now); r != nil {
 		return route, record.Team{}, r
 	}
+	if e.byAttempt() && !e.Table.HasTeams() {
+		return route, record.Team{}, nil
+	}
+	if len(c.Request.Header.PeekAll(fasthttp.HeaderAuthorization)) > 1 {
+		return route, record.Team{}, fault.NotRun(fault.Malformed, "request has more than one Authorization header: send one")
+	}
 	key := keyOf(c)
 	team, ok := e.Table.TeamOfKey(key)
 	if key == "" || !ok {
@@ -176,6 +211,9 @@
 	defer cancel()
 	stop := watchCaller(c, cancel)
 	defer stop()
+	if e.byAttempt() {
+		return e.serveAttempt(ctx, c, r)
+	}
 	if r.route.OneTime {
 		return e.serveOnce(ctx, c, r)
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -90,15 +90,23 @@
 	return nil, refusal
 }
 
+// permill turns thousandths into a share.
+const permill = 1000
+
 func (e *Entry) takeReport(s ident.Service, reply *wire.ForwardReply) {
-	l := reply.GetLoad()
-	if l == nil {
-		return
+	if l := reply.GetLoad(); l != nil {
+		e.TakeReport(s, l)
 	}
+}
+
+// TakeReport takes in a guard's word on a target of a service.
+func (e *Entry) TakeReport(s ident.Service, l *wire.LoadReport) {
 	e.Picker.Report(e.Clock.Now(), s, ident.Target(l.GetTarget()), choose.Load{
 		State:    ident.TargetState(l.GetState()),
 		InFlight: int(l.GetInFlight()),
 		Queued:   int(l.GetQueued()),
+
+		Suspicion: float64(l.GetSuspicion()) / permill,
 	})
 }
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -12,7 +12,7 @@
 
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
-	"chestnutlatch/guard"
+	"chestnutlatch/ident"
 	"chestnutlatch/wire"
 )
 
@@ -57,15 +57,40 @@
 	return string(v[len(bearer):])
 }
 
+// sentPath returns the path as the caller sent it. What selects the route must
+// be what reaches the target.
+func (e *Entry) sentPath(c *fasthttp.RequestCtx) (string, *fault.Refusal) {
+	path, _, _ := strings.Cut(string(c.Request.Header.RequestURI()), "?")
+	if !strings.HasPrefix(path, "/") {
+		return "", fault.NotRun(fault.Malformed, "request target is no path: send an absolute path")
+	}
+	if !e.byAttempt() && isAmbiguous(path) {
+		return "", fault.NotRun(fault.Malformed, "path has dot segments, empty segments or encoded slashes: send it in its plain form")
+	}
+	return path, nil
+}
+
+// isAmbiguous reports whether servers differ in what a path means.
+func isAmbiguous(path string) bool {
+	lower := strings.ToLower(path)
+	for _, odd := range []string{"//", "/./", "/../", "%2f", "%2e", "%5c", "\\", "#"} {
+		if strings.Contains(lower, odd) {
+			return true
+		}
+	}
+	return strings.HasSuffix(lower, "/.") || strings.HasSuffix(lower, "/..")
+}
+
 // timeoutOf returns the caller's time limit, at most the route's.
-func timeoutOf(c *fasthttp.RequestCtx, most clock.Millis) (clock.Millis, *fault.Refusal) {
-	v := c.Request.Header.Peek(guard.TimeoutHeader)
+func (e *Entry) timeoutOf(c *fasthttp.RequestCtx, most clock.Millis) (clock.Millis, *fault.Refusal) {
+	name := e.Dialect.Timeout
+	v := c.Request.Header.Peek(name)
 	if len(v) == 0 {
 		return most, nil
 	}
 	n, err := strconv.ParseInt(string(v), 10, 64)
 	if err != nil || n < 1 {
-		return 0, fault.NotRun(fault.Malformed, "%s is %q: give whole milliseconds, at least 1", guard.TimeoutHeader, v)
+		return 0, fault.NotRun(fault.Malformed, "%s is not a number: give whole milliseconds, at least 1", name)
 	}
 	return min(clock.Millis(n), most), nil
 }
@@ -79,13 +104,14 @@
 		Priority: uint32(r.route.Priority),
 		Weight:   r.team.Weight,
 		Method:   string(c.Method()),
-		Uri:      string(c.RequestURI()),
+		Rank:     r.team.Rank,
+		Uri:      string(c.Request.Header.RequestURI()),
 		Body:     append([]byte(nil), c.PostBody()...),
 	}
 	key := []byte(keyOf(c))
 	for k, v := range c.Request.Header.All() {
 		name := string(k)
-		if dropped[strings.ToLower(name)] || len(key) > 0 && bytes.Contains(v, key) {
+		if dropped[strings.ToLower(name)] || e.isOwn(name) || len(key) > 0 && bytes.Contains(v, key) {
 			continue
 		}
 		out.Headers = append(out.Headers, &wire.Header{Name: name, Value: string(v)})
@@ -93,6 +119,16 @@
 	return out
 }
 
+// isOwn reports whether a header is one that the daemon itself sets.
+func (e *Entry) isOwn(name string) bool {
+	for _, own := range []string{e.Dialect.Team, e.Dialect.Timeout, e.Dialect.Origin, e.Dialect.Expect} {
+		if own != "" && strings.EqualFold(own, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // writeAnswer passes a whole answer to the caller.
 func writeAnswer(c *fasthttp.RequestCtx, a *wire.Answer) {
 	c.SetStatusCode(int(a.GetStatus()))
@@ -105,7 +141,7 @@
 }
 
 // writeRefusal answers with a problem document.
-func writeRefusal(c *fasthttp.RequestCtx, r *fault.Refusal, ticket string) {
+func (e *Entry) writeRefusal(c *fasthttp.RequestCtx, r *fault.Refusal, ticket string) {
 	body, err := json.Marshal(struct {
 		Title        string       `json:"title"`
 		Status       int          `json:"status"`
@@ -114,24 +150,51 @@
 		Outcome      string       `json:"outcome"`
 		RetryAfterMS clock.Millis `json:"retry_after_ms,omitempty"`
 		Ticket       string       `json:"ticket,omitempty"`
-	}{strings.ReplaceAll(r.Kind.String(), "_", " "), r.Status(), r.Message, r.Kind.String(), r.Outcome.String(), r.RetryAfter, ticket})
+	}{strings.ReplaceAll(r.Kind.String(), "_", " "), e.statusOf(r), r.Message, r.Kind.String(), r.Outcome.String(), r.RetryAfter, ticket})
 	if err != nil {
 		c.Error("refusal cannot be written", fasthttp.StatusInternalServerError)
 		return
 	}
 	c.Response.Reset()
-	c.SetStatusCode(r.Status())
+	c.SetStatusCode(e.statusOf(r))
 	c.SetContentType(problemType)
 	if r.RetryAfter > 0 {
-		seconds := (r.RetryAfter + clock.Second - 1) / clock.Second
-		c.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
+		c.Response.Header.Set(fasthttp.HeaderRetryAfter, e.retryAfter(r.RetryAfter))
 	}
 	c.SetBody(body)
 }
 
+// retryAfter writes a span in seconds: whole ones in the product's own
+// interface, with a fraction for callers who name their attempts.
+func (e *Entry) retryAfter(wait clock.Millis) string {
+	if e.byAttempt() {
+		return strconv.FormatFloat(float64(wait)/float64(clock.Second), 'f', 3, 64)
+	}
+	seconds := (wait + clock.Second - 1) / clock.Second
+	return strconv.FormatInt(int64(seconds), 10)
+}
+
+// statusOf returns the status of a refusal. Callers who name their attempts
+// take 429 and 503 as the word that nothing has run.
+func (e *Entry) statusOf(r *fault.Refusal) int {
+	status := r.Status()
+	switch {
+	case !e.byAttempt() || status < fasthttp.StatusInternalServerError && status != fasthttp.StatusTooManyRequests && r.Kind != fault.Canceled:
+		return status
+	case r.Kind == fault.DeadlineExceeded:
+		return fasthttp.StatusGatewayTimeout
+	case r.Outcome == ident.OutcomeUnknown:
+		return fasthttp.StatusBadGateway
+	case status == fasthttp.StatusTooManyRequests:
+		return status
+	default:
+		return fasthttp.StatusServiceUnavailable
+	}
+}
+
 // OnError answers requests that could not be read.
 func (e *Entry) OnError(c *fasthttp.RequestCtx, err error) {
-	r := fault.NotRun(fault.Malformed, "request cannot be read (%v): send valid HTTP/1.1 in time", err)
+	r := fault.NotRun(fault.Malformed, "request cannot be read: send valid HTTP/1.1 in time")
 	switch err.(type) { //nolint:errorlint // the server hands the error over unwrapped
 	case *fasthttp.ErrSmallBuffer:
 		r = fault.NotRun(fault.TooLarge, "request headers are too large: send fewer or shorter ones")
@@ -141,8 +204,9 @@
 		}
 	}
 	drain(c.Conn())
+	e.Log.Debug("request not read", "kind", r.Kind, "error", err)
 	e.Meter.Refused(r)
-	writeRefusal(c, r, "")
+	e.writeRefusal(c, r, "")
 	c.SetConnectionClose()
 }
 
--- a/entry/once.go
+++ b/entry/once.go
@@ -105,7 +105,7 @@
 	if refusal == nil {
 		refusal = fault.NotRun(fault.TicketRequired, "send the action again with the given ticket in the header %s", ticketHeader)
 		e.Meter.Refused(refusal)
-		writeRefusal(c, refusal, tickets[0])
+		e.writeRefusal(c, refusal, tickets[0])
 		return
 	}
 	e.refuse(c, refusal)
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -39,6 +39,8 @@
 	AnswerDropped
 	NotReady
 	Canceled
+	Suspect
+	Shed
 )
 
 // statuses maps each kind to its HTTP status.
@@ -66,6 +68,8 @@
 	AnswerDropped:    409,
 	NotReady:         503,
 	Canceled:         499,
+	Suspect:          503,
+	Shed:             503,
 }
 
 // Refusal is the answer to a request that was not served.
--- a/fault/fault_enumer.go
+++ b/fault/fault_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "unknown_keyno_routemalformedtoo_largeover_raterate_unavailableno_capacityqueue_fulldeadline_exceededtarget_failedhalf_answeranswer_too_largepath_faileddrainingticket_requiredticket_invalidticket_expiredticket_voidticket_table_fullhome_goneanswer_droppednot_readycanceled"
+const _KindName = "unknown_keyno_routemalformedtoo_largeover_raterate_unavailableno_capacityqueue_fulldeadline_exceededtarget_failedhalf_answeranswer_too_largepath_faileddrainingticket_requiredticket_invalidticket_expiredticket_voidticket_table_fullhome_goneanswer_droppednot_readycanceledsuspectshed"
 
-var _KindIndex = [...]uint16{0, 11, 19, 28, 37, 46, 62, 73, 83, 100, 113, 124, 140, 151, 159, 174, 188, 202, 213, 230, 239, 253, 262, 270}
+var _KindIndex = [...]uint16{0, 11, 19, 28, 37, 46, 62, 73, 83, 100, 113, 124, 140, 151, 159, 174, 188, 202, 213, 230, 239, 253, 262, 270, 277, 281}
 
-const _KindLowerName = "unknown_keyno_routemalformedtoo_largeover_raterate_unavailableno_capacityqueue_fulldeadline_exceededtarget_failedhalf_answeranswer_too_largepath_faileddrainingticket_requiredticket_invalidticket_expiredticket_voidticket_table_fullhome_goneanswer_droppednot_readycanceled"
+const _KindLowerName = "unknown_keyno_routemalformedtoo_largeover_raterate_unavailableno_capacityqueue_fulldeadline_exceededtarget_failedhalf_answeranswer_too_largepath_faileddrainingticket_requiredticket_invalidticket_expiredticket_voidticket_table_fullhome_goneanswer_droppednot_readycanceledsuspectshed"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -47,9 +47,11 @@
 	_ = x[AnswerDropped-(20)]
 	_ = x[NotReady-(21)]
 	_ = x[Canceled-(22)]
+	_ = x[Suspect-(23)]
+	_ = x[Shed-(24)]
 }
 
-var _KindValues = []Kind{UnknownKey, NoRoute, Malformed, TooLarge, OverRate, RateUnavailable, NoCapacity, QueueFull, DeadlineExceeded, TargetFailed, HalfAnswer, AnswerTooLarge, PathFailed, Draining, TicketRequired, TicketInvalid, TicketExpired, TicketVoid, TicketTableFull, HomeGone, AnswerDropped, NotReady, Canceled}
+var _KindValues = []Kind{UnknownKey, NoRoute, Malformed, TooLarge, OverRate, RateUnavailable, NoCapacity, QueueFull, DeadlineExceeded, TargetFailed, HalfAnswer, AnswerTooLarge, PathFailed, Draining, TicketRequired, TicketInvalid, TicketExpired, TicketVoid, TicketTableFull, HomeGone, AnswerDropped, NotReady, Canceled, Suspect, Shed}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:11]:    UnknownKey,
@@ -75,6 +77,8 @@
 	_KindName[239:253]: AnswerDropped,
 	_KindName[253:262]: NotReady,
 	_KindName[262:270]: Canceled,
+	_KindName[270:277]: Suspect,
+	_KindName[277:281]: Shed,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -101,6 +105,8 @@
 	_KindLowerName[239:253]: AnswerDropped,
 	_KindLowerName[253:262]: NotReady,
 	_KindLowerName[262:270]: Canceled,
+	_KindLowerName[270:277]: Suspect,
+	_KindLowerName[277:281]: Shed,
 }
 
 var _KindNames = []string{
@@ -127,6 +133,8 @@
 	_KindName[239:253],
 	_KindName[253:262],
 	_KindName[262:270],
+	_KindName[270:277],
+	_KindName[277:281],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"io"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +25,12 @@
 	idleLimit = 4 * clock.Second
 	// dialTimeout bounds a new connection to a target.
 	dialTimeout = time.Second
+	// restPart is the part, in hundredths, of a target's idle time-out after
+	// which a connection is not used again.
+	restPart = 80
+	// longBody is the size from which a request's body is written while the
+	// answer is read. Shorter ones fit the socket's buffer.
+	longBody = 4 << 10
 )
 
 // Errors of one exchange with a target.
@@ -50,6 +59,10 @@
 	reused bool
 	// gotByte tells that the current exchange read something.
 	gotByte atomic.Bool
+	// given tells that the watch for a first byte has ended the connection.
+	given atomic.Bool
+	// rest is how long the target keeps the connection idle, in milliseconds.
+	rest clock.Millis
 }
 
 // Read notes that the other end is alive.
@@ -64,14 +77,15 @@
 // connPool keeps the idle connections to one target, newest last.
 type connPool struct {
 	address string
+	dialect Dialect
 	clk     clock.Clock
 
 	mu   sync.Mutex
 	idle []*targetConn
 }
 
-func newConnPool(address string, clk clock.Clock) *connPool {
-	return &connPool{address: address, clk: clk}
+func newConnPool(address string, d Dialect, clk clock.Clock) *connPool {
+	return &connPool{address: address, dialect: d, clk: clk}
 }
 
 // get returns the newest idle connection that is fit for another exchange, or
@@ -103,7 +117,7 @@
 		return nil
 	}
 	c := p.idle[n-1]
-	if p.clk.Now()-c.parked > idleLimit {
+	if p.clk.Now()-c.parked > c.rest {
 		p.closeIdle()
 		return nil
 	}
@@ -117,7 +131,7 @@
 	if err != nil {
 		return nil, errors.Wrap(errDial, err.Error())
 	}
-	c := &targetConn{Conn: raw}
+	c := &targetConn{Conn: raw, rest: idleLimit}
 	c.r = bufio.NewReader(c)
 	c.w = bufio.NewWriter(raw)
 	return c, nil
@@ -158,16 +172,17 @@
 	}
 	c.gotByte.Store(false)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
-	err = c.roundTrip(req, resp, maxBody, firstByte)
+	whole, err := c.roundTrip(p.dialect, req, resp, maxBody, firstByte)
 	stopped := stop()
 	if err != nil {
 		_ = c.Close()
 		return p.explain(ctx, c, err)
 	}
-	if resp.ConnectionClose() || !stopped {
+	if resp.ConnectionClose() || !stopped || !whole || c.given.Load() {
 		_ = c.Close()
 		return nil
 	}
+	c.rest = restOf(resp)
 	p.put(c)
 	return nil
 }
@@ -195,22 +210,65 @@
 	}
 }
 
-func (c *targetConn) roundTrip(req *fasthttp.Request, resp *fasthttp.Response, maxBody int, firstByte time.Duration) error {
+// restOf returns how long a target's connection may rest: shorter than the
+// target says, so that no request meets the close.
+func restOf(resp *fasthttp.Response) clock.Millis {
+	said, ok := bytes.CutPrefix(resp.Header.Peek("Keep-Alive"), []byte("timeout="))
+	if !ok {
+		return idleLimit
+	}
+	said, _, _ = bytes.Cut(said, []byte(","))
+	seconds, err := strconv.Atoi(string(bytes.TrimSpace(said)))
+	if err != nil || seconds < 1 {
+		return idleLimit
+	}
+	return clock.Millis(seconds) * clock.Second * restPart / 100
+}
+
+// roundTrip writes the request and reads its answer. It reports whether the
+// connection can be used again.
+func (c *targetConn) roundTrip(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int, firstByte time.Duration) (bool, error) {
 	if c.reused && firstByte > 0 {
 		watch := time.AfterFunc(firstByte, func() {
 			if !c.gotByte.Load() {
+				c.given.Store(true)
 				_ = c.SetDeadline(past)
 			}
 		})
 		defer watch.Stop()
 	}
-	if err := req.Write(c.w); err != nil {
-		return err
+	if len(req.Body()) > longBody {
+		return c.roundTripLong(d, req, resp, maxBody)
+	}
+	if err := c.write(req); err != nil {
+		return false, err
 	}
-	if err := c.w.Flush(); err != nil {
+	return c.readAnswer(d, req, resp, maxBody)
+}
+
+// roundTripLong writes the request while it reads the answer, since the target
+// may answer before it has read a long body. A connection on which the rest of
+// the body is due is closed.
+func (c *targetConn) roundTripLong(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (bool, error) {
+	written := make(chan error, 1)
+	go func() { written <- c.write(req) }()
+	framed, err := c.readAnswer(d, req, resp, maxBody)
+	select {
+	case writeErr := <-written:
+		return framed && writeErr == nil, err
+	default:
+	}
+	_ = c.Close()
+	// The answer stands, whatever became of the rest of the body.
+	_ = <-written
+	return false, err
+}
+
+func (c *targetConn) write(req *fasthttp.Request) error {
+	if err := req.Write(c.w); err != nil {
 		return err
 	}
-	return c.readAnswer(req, resp, maxBody)
+	return c.w.Flush()
 }
 
 // Values of ContentLength in the HTTP library for a body without a length.
@@ -219,29 +277,74 @@
 	identityBody = -2
 )
 
-// readAnswer reads a whole answer. A body whose end is only the end of the
-// connection is refused, since nothing proves that it is whole.
-func (c *targetConn) readAnswer(req *fasthttp.Request, resp *fasthttp.Response, maxBody int) error {
+// maxStray bounds the answers to earlier requests that are passed over.
+const maxStray = 4
+
+// readAnswer reads the whole answer to a request and passes over those to
+// other requests. It reports whether the answer's end was told by a length.
+func (c *targetConn) readAnswer(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (framed bool, err error) {
+	for range maxStray {
+		framed, err = c.readOne(d, req, resp, maxBody)
+		if err != nil || d.Attempt == "" || answers(d, req, resp) {
+			return framed, err
+		}
+		if !framed {
+			return false, errHalf
+		}
+		resp.Reset()
+	}
+	return false, errHalf
+}
+
+// answers reports whether an answer belongs to the request. A failure without
+// an id is taken for the request's, since only answers to requests that ran
+// are promised to bear one.
+func answers(d Dialect, req *fasthttp.Request, resp *fasthttp.Response) bool {
+	got := resp.Header.Peek(d.Attempt)
+	if len(got) == 0 {
+		return resp.StatusCode() >= fasthttp.StatusBadRequest
+	}
+	return bytes.Equal(got, req.Header.Peek(d.Attempt))
+}
+
+func (c *targetConn) readOne(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (framed bool, err error) {
 	for {
 		if err := resp.Header.Read(c.r); err != nil {
-			return err
+			return false, err
 		}
 		if resp.StatusCode() != fasthttp.StatusContinue {
 			break
 		}
 	}
 	if req.Header.IsHead() || resp.StatusCode() == fasthttp.StatusNoContent || resp.StatusCode() == fasthttp.StatusNotModified {
-		return nil
+		return true, nil
 	}
 	length := resp.Header.ContentLength()
 	if length == identityBody {
-		return errHalf
+		if !d.Unframed {
+			// Nothing proves that such an answer is whole.
+			return false, errHalf
+		}
+		return false, c.readToEnd(resp, maxBody)
 	}
 	if err := resp.ReadBody(c.r, maxBody); err != nil {
-		return err
+		return false, err
 	}
 	if length == chunkedBody {
-		return resp.Header.ReadTrailer(c.r)
+		return true, resp.Header.ReadTrailer(c.r)
+	}
+	return true, nil
+}
+
+// readToEnd reads a body that ends with its connection. A reset is an error.
+func (c *targetConn) readToEnd(resp *fasthttp.Response, maxBody int) error {
+	body, err := io.ReadAll(io.LimitReader(c.r, int64(maxBody)+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > maxBody {
+		return fasthttp.ErrBodyTooLarge
 	}
+	resp.SetBodyRaw(body)
 	return nil
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -21,8 +21,8 @@
 	"chestnutlatch/wire"
 )
 
-// announceLife is how long a target counts after its last announcement, in
-// milliseconds.
+// announceLife is the AnnounceLife that a zero Config stands for: two lost
+// announcements a second apart.
 const announceLife = 3 * clock.Second
 
 // Config holds the bounds of a guard.
@@ -31,6 +31,16 @@
 	QueueLimit int
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes int
+	// AnnounceLife is how long a target counts after it was last heard, in
+	// milliseconds.
+	AnnounceLife clock.Millis
+	// Incarnation is this daemon's life.
+	Incarnation ident.Incarnation
+	// Dialect names the headers towards targets.
+	Dialect Dialect
+	// RefuseAt is the suspicion, 0 to 1, from which a one-time action is sent
+	// elsewhere; 0 leaves the choice to the entry.
+	RefuseAt float64
 }
 
 // PeerStats tells how the other targets of a service fare.
@@ -48,11 +58,14 @@
 	peers PeerStats
 	pool  *ants.Pool
 	home  *tickets
+	// attempts holds the one-time requests that callers name themselves.
+	attempts *attempts
 	// isDrained is the operators' word on a target.
 	isDrained func(ident.Target) bool
 
 	mu       sync.RWMutex
 	targets  map[ident.Target]*target
+	gone     map[ident.Target]tomb
 	draining bool
 }
 
@@ -64,16 +77,30 @@
 	// Pool runs the one-time actions.
 	Pool *ants.Pool
 	Home *once.Home
+	// Attempts remembers one-time requests that callers name; nil if they use
+	// tickets.
+	Attempts *once.Attempts
 	// IsDrained is the operators' word on a target.
 	IsDrained func(ident.Target) bool
 }
 
 // New returns a guard without targets.
 func New(cfg Config, d Deps) *Guard {
+	if cfg.AnnounceLife == 0 {
+		cfg.AnnounceLife = announceLife
+	}
+	if cfg.Dialect == (Dialect{}) {
+		cfg.Dialect = OwnDialect()
+	}
+	if d.Attempts == nil {
+		d.Attempts = once.NewAttempts(once.AttemptConfig{})
+	}
 	return &Guard{
 		cfg: cfg, clk: d.Clock, log: d.Log, peers: d.Peers, pool: d.Pool, isDrained: d.IsDrained,
-		home:    newTickets(d.Home),
-		targets: map[ident.Target]*target{},
+		home:     newTickets(d.Home),
+		attempts: newAttempts(d.Attempts),
+		targets:  map[ident.Target]*target{},
+		gone:     map[ident.Target]tomb{},
 	}
 }
 
@@ -81,7 +108,7 @@
 func (g *Guard) Add(s Spec) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.targets[s.ID] = newTarget(s, g.cfg.QueueLimit, g.clk)
+	g.targets[s.ID] = newTarget(s, g.cfg, g.clk)
 }
 
 // Announce adds a target or keeps it for another while. It reports whether
@@ -93,7 +120,7 @@
 	t := g.targets[s.ID]
 	changed := t == nil || t.spec != s
 	if changed {
-		t = newTarget(s, g.cfg.QueueLimit, g.clk)
+		t = newTarget(s, g.cfg, g.clk)
 		g.targets[s.ID] = t
 	}
 	t.mu.Lock()
@@ -145,6 +172,15 @@
 	return out
 }
 
+// Reports returns the state of every target, for the data centre.
+func (g *Guard) Reports(now clock.Millis) []*wire.LoadReport {
+	var out []*wire.LoadReport
+	for _, t := range g.list() {
+		out = append(out, t.report(now))
+	}
+	return out
+}
+
 // Vitals returns the targets' summaries for their peers.
 func (g *Guard) Vitals(now clock.Millis) []member.Vital {
 	var out []member.Vital
@@ -178,7 +214,7 @@
 	changed := false
 	for id, t := range g.targets {
 		t.mu.Lock()
-		silent := t.heard > 0 && now-t.heard > announceLife
+		silent := t.heard > 0 && now-t.heard > g.cfg.AnnounceLife
 		t.mu.Unlock()
 		if silent && t.isIdle() {
 			delete(g.targets, id)
@@ -248,18 +284,23 @@
 // Forward serves one request from an entry.
 func (g *Guard) Forward(ctx context.Context, req *wire.ForwardRequest) *wire.ForwardReply {
 	reply := &wire.ForwardReply{Sequence: req.GetSequence(), SenderIncarnation: req.GetSenderIncarnation()}
+	if req.GetOneTime() && req.GetAttempt() != "" {
+		g.forwardAttempt(ctx, req, reply)
+		return reply
+	}
 	if req.GetOneTime() {
 		g.forwardOnce(ctx, req, reply)
 		return reply
 	}
 	t := g.find(ident.Target(req.GetTarget()))
 	if t == nil {
-		setRefusal(reply, fault.NotRun(fault.Draining, "target %s is not here any more: repeat the request", req.GetTarget()))
+		setRefusal(reply, goneRefusal(req))
 		return reply
 	}
-	answer, refusal := g.serve(ctx, t, req)
+	answer, refusal, arrived := g.serve(ctx, t, req)
 	setResult(reply, answer, refusal)
-	reply.Load = t.report()
+	reply.Arrived = arrived
+	reply.Load = t.report(g.clk.Now())
 	return reply
 }
 
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -23,48 +23,92 @@
 	TimeoutHeader = "X-Request-Timeout"
 )
 
-// serve waits for a slot and exchanges the request with the target.
-func (g *Guard) serve(ctx context.Context, t *target, req *wire.ForwardRequest) (*wire.Answer, *fault.Refusal) {
+// serve waits for a slot and exchanges the request with the target. It reports
+// whether the request reached the target.
+func (g *Guard) serve(ctx context.Context, t *target, req *wire.ForwardRequest) (*wire.Answer, *fault.Refusal, bool) {
 	if g.isDrained(t.spec.ID) {
-		return nil, fault.NotRun(fault.Draining, "target %s takes no new work: repeat the request", t.spec.ID)
+		return nil, fault.NotRun(fault.Draining, "target %s takes no new work: repeat the request", t.spec.ID), false
 	}
 	now := g.clk.Now()
+	if r := g.refuseSuspect(now, t, req); r != nil {
+		return nil, r, false
+	}
 	timeout := clock.Millis(req.GetTimeoutMs())
 	job := queue.Job{
 		Team:     ident.Team(req.GetTeam()),
-		Priority: min(ident.Priority(req.GetPriority()), ident.PriorityHigh),
+		Priority: min(ident.Priority(req.GetPriority()), ident.PriorityUrgent),
 		Weight:   max(req.GetWeight(), 1),
 		Deadline: now + timeout,
 	}
+	if spare := clock.Millis(req.GetSpareMs()); spare > 0 {
+		job.Deadline = now + min(timeout, spare)
+	}
 	if r := t.acquire(ctx, now, job); r != nil {
-		return nil, r
+		return nil, r, false
 	}
 	defer func() { t.release(g.clk.Now()) }()
+	if ctx.Err() != nil {
+		return nil, fault.NotRun(fault.Canceled, "request ended while it waited for target %s", t.spec.ID), false
+	}
 	left := now + timeout - g.clk.Now()
 	if left <= 0 {
-		return nil, refusalOf(fault.DeadlineExceeded, t.spec.ID)
+		return nil, refusalOf(fault.DeadlineExceeded, t.spec.ID), false
+	}
+	if req.GetOneTime() {
+		// The target works on, whatever becomes of the sender.
+		ctx = context.WithoutCancel(ctx)
 	}
 	return g.exchange(ctx, t, req, left)
 }
 
+// refuseSuspect sends a one-time action elsewhere while the target probably
+// fails: such an action cannot be repeated.
+func (g *Guard) refuseSuspect(now clock.Millis, t *target, req *wire.ForwardRequest) *fault.Refusal {
+	if g.cfg.RefuseAt <= 0 || !req.GetOneTime() || req.GetLastResort() || t.suspicion(now) < g.cfg.RefuseAt {
+		return nil
+	}
+	return fault.NotRun(fault.Suspect, "target %s probably fails: repeat the request", t.spec.ID)
+}
+
 // exchange runs the request at the target. A silent connection is replaced
 // and, for an idempotent request, the request is sent again on a fresh one.
-func (g *Guard) exchange(ctx context.Context, t *target, req *wire.ForwardRequest, left clock.Millis) (*wire.Answer, *fault.Refusal) {
+func (g *Guard) exchange(ctx context.Context, t *target, req *wire.ForwardRequest, left clock.Millis) (*wire.Answer, *fault.Refusal, bool) {
 	ctx, cancel := context.WithTimeout(ctx, left.Duration())
 	defer cancel()
 	out := fasthttp.AcquireRequest()
 	in := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(out)
 	defer fasthttp.ReleaseResponse(in)
-	fill(out, req, t, left)
+	g.fill(out, req, t, left)
 	began := time.Now()
 	err := g.attempt(ctx, t, out, in, !req.GetOneTime())
 	latency := ident.Micros(time.Since(began).Microseconds())
 	t.observe(health.Sample{At: g.clk.Now(), Result: resultOf(err, in.StatusCode()), Latency: latency})
 	if err != nil {
-		return nil, explain(err, t.spec.ID)
+		return nil, explain(err, t.spec.ID), !errors.Is(err, errDial)
+	}
+	if r := g.notRun(t, in); r != nil {
+		return nil, r, true
+	}
+	if len(in.Header.ContentEncoding()) > 0 && g.cfg.Dialect.Attempt != "" {
+		return nil, explain(errHalf, t.spec.ID), true
 	}
-	return toAnswer(in), nil
+	return toAnswer(in), nil, true
+}
+
+// notRun returns the refusal of a target that says that it did not run the
+// request.
+func (g *Guard) notRun(t *target, in *fasthttp.Response) *fault.Refusal {
+	d := g.cfg.Dialect
+	if d.Expect != "" && in.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		// Another target has the address; heartbeats will name it.
+		t.setDraining(true)
+		return fault.NotRun(fault.Draining, "target %s has gone: repeat the request", t.spec.ID)
+	}
+	if d.NotRun == "" || len(in.Header.Peek(d.NotRun)) == 0 || in.StatusCode() == fasthttp.StatusBadRequest {
+		return nil
+	}
+	return fault.NotRun(fault.Shed, "target %s refused the request: repeat after the given time", t.spec.ID).After(clock.Second)
 }
 
 // attempt makes one exchange. For an idempotent request, a reused connection
@@ -95,20 +139,33 @@
 
 // fill writes the target's request. The caller's key never gets here: the
 // entry sends only the headers that may pass.
-func fill(out *fasthttp.Request, req *wire.ForwardRequest, t *target, left clock.Millis) {
+func (g *Guard) fill(out *fasthttp.Request, req *wire.ForwardRequest, t *target, left clock.Millis) {
+	d := g.cfg.Dialect
 	out.Header.SetMethod(req.GetMethod())
-	out.SetRequestURI(req.GetUri())
+	out.Header.SetRequestURI(req.GetUri())
+	out.Header.SetNoDefaultContentType(true)
 	for _, h := range req.GetHeaders() {
 		out.Header.Add(h.GetName(), h.GetValue())
 	}
 	if len(out.Header.Host()) == 0 {
 		out.Header.SetHost(t.spec.Address)
 	}
-	out.Header.Set(TeamHeader, req.GetTeam())
-	out.Header.Set(TimeoutHeader, strconv.FormatInt(int64(left), 10))
+	for _, name := range d.sets() {
+		out.Header.Del(name)
+	}
+	setHeader(out, d.Team, req.GetTeam())
+	setHeader(out, d.Timeout, strconv.FormatInt(int64(left), 10))
+	setHeader(out, d.Origin, req.GetOriginService())
+	setHeader(out, d.Expect, string(t.spec.ID))
 	out.SetBodyRaw(req.GetBody())
 }
 
+func setHeader(out *fasthttp.Request, name, value string) {
+	if name != "" && value != "" {
+		out.Header.Set(name, value)
+	}
+}
+
 func toAnswer(in *fasthttp.Response) *wire.Answer {
 	a := &wire.Answer{Status: uint32(in.StatusCode()), Body: append([]byte(nil), in.Body()...)}
 	for k, v := range in.Header.All() {
--- a/guard/target.go
+++ b/guard/target.go
@@ -35,8 +35,15 @@
 	// waiters holds a channel for each job that has not started.
 	waiters map[queue.JobID]chan *fault.Refusal
 	lastJob queue.JobID
+	// belief is what the requests say about spells of failures.
+	belief *health.Belief
 	// draining tells that the target or this daemon takes no new work.
 	draining bool
+	// born and sequence are those of the last heartbeat.
+	born     clock.Millis
+	sequence uint64
+	// coldUntil is when the target's slow start ends.
+	coldUntil clock.Millis
 	// heard is when the target last announced itself; 0 for a target from
 	// the settings.
 	heard clock.Millis
@@ -48,12 +55,13 @@
 // a fresh connection, in milliseconds.
 const refreshEvery = 200 * clock.Millisecond
 
-func newTarget(s Spec, queueLimit int, clk clock.Clock) *target {
+func newTarget(s Spec, cfg Config, clk clock.Clock) *target {
 	d := health.NewCombined()
 	return &target{
 		spec:     s,
-		conns:    newConnPool(s.Address, clk),
-		queue:    queue.New(s.Slots, queueLimit),
+		conns:    newConnPool(s.Address, cfg.Dialect, clk),
+		belief:   health.NewBelief(health.DefaultModel(), clk.Now()),
+		queue:    queue.New(s.Slots, cfg.QueueLimit),
 		detector: d,
 		keeper:   health.NewKeeper(d, clk.Now()),
 		waiters:  map[queue.JobID]chan *fault.Refusal{},
@@ -128,7 +136,10 @@
 }
 
 func refusalOf(k fault.Kind, id ident.Target) *fault.Refusal {
-	if k == fault.DeadlineExceeded {
+	switch k {
+	case fault.Draining:
+		return fault.NotRun(k, "target %s takes no new work: repeat the request", id)
+	case fault.DeadlineExceeded:
 		return fault.NotRun(k, "deadline came while the request waited for target %s: allow more time", id)
 	}
 	return fault.NotRun(k, "target %s is busy and its queue is full: repeat after the given time", id).After(clock.Second)
@@ -139,6 +150,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.keeper.Observe(s)
+	t.belief.Observe(s)
 }
 
 // judge moves the health state on and reports whether it changed.
@@ -169,7 +181,7 @@
 	return member.Vital{Service: t.spec.Service, Target: t.spec.ID, Windows: s.Windows}
 }
 
-func (t *target) report() *wire.LoadReport {
+func (t *target) report(now clock.Millis) *wire.LoadReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return &wire.LoadReport{
@@ -177,9 +189,15 @@
 		State:    uint32(t.state()),
 		InFlight: uint32(t.queue.Running()),
 		Queued:   uint32(t.queue.Waiting()),
+
+		Service:   string(t.spec.Service),
+		Suspicion: uint32(t.belief.At(now) * permill),
 	}
 }
 
+// permill turns a share into thousandths.
+const permill = 1000
+
 // mayRefresh allows one request to be sent again on a fresh connection.
 func (t *target) mayRefresh(now clock.Millis) bool {
 	t.mu.Lock()
@@ -191,10 +209,22 @@
 	return true
 }
 
+// setDraining stops or allows new work. Requests that wait are told at once
+// that they have not run, so that they find another target in time.
 func (t *target) setDraining(v bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.draining = v
+	if v {
+		t.settle(t.queue.Flush(fault.Draining))
+	}
+}
+
+// suspicion is the belief that the target is in a spell of failures.
+func (t *target) suspicion(now clock.Millis) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.belief.At(now)
 }
 
 // isIdle reports whether nothing runs or waits.
--- a/guard/tickets.go
+++ b/guard/tickets.go
@@ -121,8 +121,8 @@
 		if t == nil {
 			res.refusal = fault.NotRun(fault.Draining, "no target of service %s takes work here: take a new ticket", req.GetService())
 		} else {
-			res.answer, res.refusal = g.serve(context.WithoutCancel(ctx), t, req)
-			res.load = t.report()
+			res.answer, res.refusal, _ = g.serve(context.WithoutCancel(ctx), t, req)
+			res.load = t.report(g.clk.Now())
 		}
 		g.home.finish(serial, res.answer, res.refusal)
 		done <- res
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -61,6 +61,8 @@
 	PriorityLow Priority = iota
 	PriorityNormal
 	PriorityHigh
+	// PriorityUrgent is for calls that work under way waits for.
+	PriorityUrgent
 )
 
 // TargetState is a guard's judgement of one of its targets.
--- a/ident/ident_enumer.go
+++ b/ident/ident_enumer.go
@@ -110,11 +110,11 @@
 	return err
 }
 
-const _PriorityName = "lownormalhigh"
+const _PriorityName = "lownormalhighurgent"
 
-var _PriorityIndex = [...]uint8{0, 3, 9, 13}
+var _PriorityIndex = [...]uint8{0, 3, 9, 13, 19}
 
-const _PriorityLowerName = "lownormalhigh"
+const _PriorityLowerName = "lownormalhighurgent"
 
 func (i Priority) String() string {
 	if i < 0 || i >= Priority(len(_PriorityIndex)-1) {
@@ -130,26 +130,30 @@
 	_ = x[PriorityLow-(0)]
 	_ = x[PriorityNormal-(1)]
 	_ = x[PriorityHigh-(2)]
+	_ = x[PriorityUrgent-(3)]
 }
 
-var _PriorityValues = []Priority{PriorityLow, PriorityNormal, PriorityHigh}
+var _PriorityValues = []Priority{PriorityLow, PriorityNormal, PriorityHigh, PriorityUrgent}
 
 var _PriorityNameToValueMap = map[string]Priority{
-	_PriorityName[0:3]:  PriorityLow,
-	_PriorityName[3:9]:  PriorityNormal,
-	_PriorityName[9:13]: PriorityHigh,
+	_PriorityName[0:3]:   PriorityLow,
+	_PriorityName[3:9]:   PriorityNormal,
+	_PriorityName[9:13]:  PriorityHigh,
+	_PriorityName[13:19]: PriorityUrgent,
 }
 
 var _PriorityLowerNameToValueMap = map[string]Priority{
-	_PriorityLowerName[0:3]:  PriorityLow,
-	_PriorityLowerName[3:9]:  PriorityNormal,
-	_PriorityLowerName[9:13]: PriorityHigh,
+	_PriorityLowerName[0:3]:   PriorityLow,
+	_PriorityLowerName[3:9]:   PriorityNormal,
+	_PriorityLowerName[9:13]:  PriorityHigh,
+	_PriorityLowerName[13:19]: PriorityUrgent,
 }
 
 var _PriorityNames = []string{
 	_PriorityName[0:3],
 	_PriorityName[3:9],
 	_PriorityName[9:13],
+	_PriorityName[13:19],
 }
 
 // PriorityString retrieves an enum value from the enum constants string name.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -31,6 +31,10 @@
 	DatagramsIn  *metrics.Counter
 	DatagramsOut *metrics.Counter
 	BytesOut     *metrics.Counter
+	// BadBeats counts the heartbeats, BadDocuments the configurations that
+	// could not be read.
+	BadBeats     *metrics.Counter
+	BadDocuments *metrics.Counter
 	// Duration is the time of a request at the entry, in seconds.
 	Duration *metrics.Histogram
 }
@@ -50,6 +54,8 @@
 		DatagramsIn:  s.NewCounter("chestnutlatch_member_datagrams_in_total"),
 		DatagramsOut: s.NewCounter("chestnutlatch_member_datagrams_out_total"),
 		BytesOut:     s.NewCounter("chestnutlatch_member_bytes_out_total"),
+		BadBeats:     s.NewCounter("chestnutlatch_heartbeats_refused_total"),
+		BadDocuments: s.NewCounter("chestnutlatch_configurations_refused_total"),
 		Duration:     s.NewHistogram("chestnutlatch_request_duration_seconds"),
 	}
 }
@@ -64,6 +70,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chestnutlatch_target_moves_total{to=%q}`, to)).Inc()
 }
 
+// StoreCall counts a call to the store by its purpose and its end.
+func (m *Meter) StoreCall(purpose, result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chestnutlatch_store_calls_total{purpose=%q,result=%q}`, purpose, result)).Inc()
+}
+
 // Gauge registers a value that is read when the metrics are written.
 func (m *Meter) Gauge(name string, read func() float64) {
 	m.set.NewGauge(name, read)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -12,11 +12,11 @@
 )
 
 // priorityCount is the number of priorities.
-const priorityCount = int(ident.PriorityHigh) + 1
+const priorityCount = int(ident.PriorityUrgent) + 1
 
 // priorityWeights are the parts of the slots that busy priorities get, lowest
 // priority first.
-var priorityWeights = [priorityCount]float64{1, 4, 16}
+var priorityWeights = [priorityCount]float64{1, 4, 16, 64}
 
 // shareSlack is how many requests, by its weight, a team may be ahead of the
 // team served least. Within it the priority decides, beyond it the team waits.
@@ -149,6 +149,15 @@
 	return effects
 }
 
+// Flush refuses all waiting jobs.
+func (q *Queue) Flush(k fault.Kind) []Effect {
+	var effects []Effect
+	for _, j := range q.dropIf(func(Job) bool { return true }) {
+		effects = append(effects, Refuse{ID: j.ID, Kind: k})
+	}
+	return effects
+}
+
 func (q *Queue) enqueue(j Job) {
 	l := q.lines[j.Team]
 	if l == nil {
--- a/record/check.go
+++ b/record/check.go
@@ -28,6 +28,10 @@
 	return fmt.Sprintf("%s %q is refused: %s", e.Kind, e.ID, strings.Join(parts, "; "))
 }
 
+// maxAttempts bounds the targets of one request: more would only multiply the
+// load of a failing service.
+const maxAttempts = 16
+
 type checker struct {
 	problems []Problem
 }
@@ -72,8 +76,13 @@
 	c.want(len(r.Prefix) <= 1024, "prefix", len(r.Prefix), "use at most 1024 bytes")
 	c.want(r.Host == strings.ToLower(r.Host) && !strings.ContainsAny(r.Host, ":/ "), "host", r.Host,
 		"use a lower-case host name without a port, or leave it empty for every host")
-	c.want(isID(string(r.Service)), "service", r.Service, "name the service of the targets")
-	c.want(r.Priority.IsAPriority(), "priority", int(r.Priority), "use low, normal or high")
+	c.want(len(r.Split) > 0 || isID(string(r.Service)), "service", r.Service, "name the service of the targets")
+	for _, p := range r.Split {
+		c.want(isID(string(p.Service)) && p.Weight >= 1 && p.Weight <= MaxRate, "split", p, "name a service and give a weight of at least 1")
+	}
+	c.want(r.Attempts <= maxAttempts, "attempts", r.Attempts, "use at most 16")
+	c.want(r.Objective >= 0 && r.Objective <= 600_000, "objective_ms", int64(r.Objective), "use at most 600000")
+	c.want(r.Priority.IsAPriority(), "priority", int(r.Priority), "use low, normal, high or urgent")
 	c.want(r.Timeout >= 1 && r.Timeout <= 600_000, "timeout_ms", int64(r.Timeout), "use 1 to 600000")
 	c.want(!r.OneTime || !r.Open, "access", "open", "a one-time action needs a team: use a keyed route")
 }
--- a/record/compact.go
+++ b/record/compact.go
@@ -19,6 +19,10 @@
 	fieldF
 	fieldG
 	fieldRaw
+	fieldH
+	fieldI
+	fieldJ
+	fieldEnd
 )
 
 // errCompact reports a compact record that does not parse.
@@ -34,6 +38,7 @@
 		b = appendNumber(b, fieldA, uint64(v.Rate))
 		b = appendNumber(b, fieldB, uint64(v.Burst))
 		b = appendNumber(b, fieldC, uint64(v.Weight))
+		b = appendNumber(b, fieldD, uint64(v.Rank))
 	case Key:
 		b = appendText(b, fieldA, string(v.Team))
 		b = appendText(b, fieldB, string(v.Hash[:]))
@@ -45,6 +50,9 @@
 		b = appendFlag(b, fieldE, v.OneTime)
 		b = appendFlag(b, fieldF, v.Open)
 		b = appendNumber(b, fieldG, uint64(v.Timeout))
+		b = appendNumber(b, fieldH, uint64(v.Attempts))
+		b = appendNumber(b, fieldI, uint64(v.Objective))
+		b = appendText(b, fieldJ, string(appendSplit(nil, v.Split)))
 	case Target:
 		b = appendFlag(b, fieldA, v.Drain)
 	case Service:
@@ -78,15 +86,15 @@
 
 // fields holds the parsed fields of one compact record, by number.
 type fields struct {
-	text   [fieldRaw + 1][]byte
-	number [fieldRaw + 1]uint64
+	text   [fieldEnd][]byte
+	number [fieldEnd]uint64
 }
 
 func parseFields(b []byte) (fields, error) {
 	var f fields
 	for len(b) > 0 {
 		num, typ, n := protowire.ConsumeTag(b)
-		if n < 0 || num > fieldRaw {
+		if n < 0 || num >= fieldEnd {
 			return f, errCompact
 		}
 		b = b[n:]
@@ -137,17 +145,22 @@
 	case KindTeam:
 		body = Team{
 			ID: ident.Team(id), Rate: uint32(f.number[fieldA]), Burst: uint32(f.number[fieldB]),
-			Weight: uint32(f.number[fieldC]),
+			Weight: uint32(f.number[fieldC]), Rank: uint32(f.number[fieldD]),
 		}
 	case KindKey:
 		key := Key{ID: ident.Key(id), Team: ident.Team(f.text[fieldA])}
 		copy(key.Hash[:], f.text[fieldB])
 		body = key
 	case KindRoute:
+		split, err := parseSplit(f.text[fieldJ])
+		if err != nil {
+			return nil, nil, err
+		}
 		body = Route{
 			ID: ident.Route(id), Host: string(f.text[fieldA]), Prefix: string(f.text[fieldB]),
 			Service: ident.Service(f.text[fieldC]), Priority: ident.Priority(f.number[fieldD]),
 			OneTime: f.number[fieldE] != 0, Open: f.number[fieldF] != 0, Timeout: clock.Millis(f.number[fieldG]),
+			Attempts: uint32(f.number[fieldH]), Objective: clock.Millis(f.number[fieldI]), Split: split,
 		}
 	case KindTarget:
 		body = Target{ID: ident.Target(id), Drain: f.number[fieldA] != 0}
@@ -158,3 +171,30 @@
 	}
 	return body, f.text[fieldRaw], nil
 }
+
+// appendSplit writes the parts of a split route, each as its service and its
+// weight.
+func appendSplit(b []byte, split []Part) []byte {
+	for _, p := range split {
+		b = protowire.AppendString(b, string(p.Service))
+		b = protowire.AppendVarint(b, uint64(p.Weight))
+	}
+	return b
+}
+
+func parseSplit(b []byte) ([]Part, error) {
+	var out []Part
+	for len(b) > 0 {
+		service, n := protowire.ConsumeBytes(b)
+		if n < 0 {
+			return nil, errCompact
+		}
+		weight, m := protowire.ConsumeVarint(b[n:])
+		if m < 0 {
+			return nil, errCompact
+		}
+		out = append(out, Part{Service: ident.Service(service), Weight: uint32(weight)})
+		b = b[n+m:]
+	}
+	return out, nil
+}
--- a/record/json.go
+++ b/record/json.go
@@ -30,6 +30,11 @@
 	Burst         uint32 `json:"burst"`
 }
 
+type partJSON struct {
+	Service ident.Service `json:"service"`
+	Weight  uint32        `json:"weight"`
+}
+
 type matchJSON struct {
 	Host   string `json:"host"`
 	Prefix string `json:"prefix"`
@@ -101,11 +106,12 @@
 		Burst  uint32    `json:"burst"`
 		Limit  limitJSON `json:"limit"`
 		Weight uint32    `json:"weight"`
+		Rank   uint32    `json:"rank"`
 	}{Weight: 1}
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return nil, err
 	}
-	t := Team{ID: ident.Team(id), Rate: w.Rate, Burst: w.Burst, Weight: w.Weight}
+	t := Team{ID: ident.Team(id), Rate: w.Rate, Burst: w.Burst, Weight: w.Weight, Rank: w.Rank}
 	if schema == SchemaCurrent {
 		t.Rate = w.Limit.RatePerSecond
 		t.Burst = w.Limit.Burst
@@ -144,6 +150,10 @@
 		Action   string         `json:"action"`
 		Access   string         `json:"access"`
 		Timeout  int64          `json:"timeout_ms"`
+
+		Attempts  uint32     `json:"attempts"`
+		Objective int64      `json:"objective_ms"`
+		Split     []partJSON `json:"split"`
 	}{Timeout: int64(DefaultTimeout), Action: actionLookup, Access: accessKeyed, Priority: ident.PriorityNormal}
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return nil, err
@@ -151,6 +161,10 @@
 	r := Route{
 		ID: ident.Route(id), Host: w.Host, Prefix: w.Prefix, Service: w.Service, Priority: w.Priority,
 		OneTime: w.OneTime, Open: w.Open, Timeout: clock.Millis(w.Timeout),
+		Attempts: w.Attempts, Objective: clock.Millis(w.Objective),
+	}
+	for _, p := range w.Split {
+		r.Split = append(r.Split, Part(p))
 	}
 	if schema == SchemaFirst {
 		return r, nil
@@ -217,13 +231,15 @@
 				Rate   uint32 `json:"rate"`
 				Burst  uint32 `json:"burst"`
 				Weight uint32 `json:"weight"`
-			}{schema, b.Rate, b.Burst, b.Weight}
+				Rank   uint32 `json:"rank,omitempty"`
+			}{schema, b.Rate, b.Burst, b.Weight, b.Rank}
 		}
 		return struct {
 			Schema Schema    `json:"schema"`
 			Limit  limitJSON `json:"limit"`
 			Weight uint32    `json:"weight"`
-		}{schema, limitJSON{b.Rate, b.Burst}, b.Weight}
+			Rank   uint32    `json:"rank,omitempty"`
+		}{schema, limitJSON{b.Rate, b.Burst}, b.Weight, b.Rank}
 	case Key:
 		return struct {
 			Schema Schema     `json:"schema"`
@@ -248,6 +264,10 @@
 }
 
 func encodeRoute(r Route, schema Schema) any {
+	var split []partJSON
+	for _, p := range r.Split {
+		split = append(split, partJSON(p))
+	}
 	if schema == SchemaFirst {
 		return struct {
 			Schema   Schema         `json:"schema"`
@@ -258,7 +278,14 @@
 			OneTime  bool           `json:"one_time"`
 			Open     bool           `json:"open"`
 			Timeout  int64          `json:"timeout_ms"`
-		}{schema, r.Host, r.Prefix, r.Service, r.Priority, r.OneTime, r.Open, int64(r.Timeout)}
+
+			Attempts  uint32     `json:"attempts,omitempty"`
+			Objective int64      `json:"objective_ms,omitempty"`
+			Split     []partJSON `json:"split,omitempty"`
+		}{
+			schema, r.Host, r.Prefix, r.Service, r.Priority, r.OneTime, r.Open, int64(r.Timeout),
+			r.Attempts, int64(r.Objective), split,
+		}
 	}
 	action, access := actionLookup, accessKeyed
 	if r.OneTime {
@@ -275,7 +302,16 @@
 		Action   string         `json:"action"`
 		Access   string         `json:"access"`
 		Timeout  int64          `json:"timeout_ms"`
-	}{schema, matchJSON{r.Host, r.Prefix}, r.Service, r.Priority, action, access, int64(r.Timeout)}
+
+		Attempts  uint32     `json:"attempts,omitempty"`
+		Objective int64      `json:"objective_ms,omitempty"`
+		Split     []partJSON `json:"split,omitempty"`
+	}{
+		schema,
+		matchJSON{r.Host, r.Prefix},
+		r.Service, r.Priority, action, access, int64(r.Timeout),
+		r.Attempts, int64(r.Objective), split,
+	}
 }
 
 // knownFields holds the field names that this program writes, by schema and
@@ -286,7 +322,8 @@
 	out := map[Schema]map[Kind]map[string]bool{}
 	for _, schema := range []Schema{SchemaFirst, SchemaCurrent} {
 		out[schema] = map[Kind]map[string]bool{}
-		for _, b := range []Body{Team{}, Key{}, Route{}, Target{}, Service{}} {
+		full := Route{Attempts: 1, Objective: 1, Split: []Part{{}}}
+		for _, b := range []Body{Team{Rank: 1}, Key{}, full, Target{}, Service{}} {
 			names := map[string]bool{}
 			var fields map[string]json.RawMessage
 			// The program's own types always encode and decode.
--- a/record/record.go
+++ b/record/record.go
@@ -68,6 +68,15 @@
 	// Weight is the team's part at a full target against other teams, at
 	// least 1.
 	Weight uint32
+	// Rank goes before the route's priority at a full target; 0 is first.
+	Rank uint32
+}
+
+// Part is one service of a route whose requests are split.
+type Part struct {
+	Service ident.Service
+	// Weight is the part's share against the others, at least 1.
+	Weight uint32
 }
 
 // Key is one caller's key, known by its hash only.
@@ -94,6 +103,14 @@
 	Open bool
 	// Timeout bounds a request, in milliseconds, at least 1.
 	Timeout clock.Millis
+	// Attempts is the number of targets that one request may be sent to; 0
+	// leaves it to the entry.
+	Attempts uint32
+	// Objective is the time in which an answer is worth most to the caller,
+	// in milliseconds; 0 means the time-out.
+	Objective clock.Millis
+	// Split replaces Service if it is not empty.
+	Split []Part
 }
 
 // Target is the operators' word on one target.
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -20,6 +20,29 @@
 // targetPrefix starts the section name of a local target.
 const targetPrefix = "target."
 
+// Rates says how the data centres share the teams' rates.
+type Rates struct {
+	// Parts is the number of data centres.
+	Parts int
+	// Window is the span over which a team's excess is bounded, in
+	// milliseconds.
+	Window clock.Millis
+	// Overshoot is the part, and Slack the number, of a window's requests that
+	// a team may exceed its rate and burst by.
+	Overshoot float64
+	Slack     float64
+}
+
+// Retries bounds the retries of the whole fleet at one service.
+type Retries struct {
+	// Part is the number of retries for each request in a window.
+	Part float64
+	// Slack is the number of retries in a window on top.
+	Slack float64
+	// Window is the span that the bound is for, in milliseconds.
+	Window clock.Millis
+}
+
 // Target is one local target from the settings.
 type Target struct {
 	ID      ident.Target
@@ -46,6 +69,20 @@
 	LogLevel    hclog.Level
 	LogJSON     bool
 
+	// Adapter names the platform's interface; empty is the product's own.
+	Adapter string
+	// ReadyAddress answers whether callers may come, AnnounceAddress takes the
+	// heartbeats of targets. Both are used with an Adapter only.
+	ReadyAddress    string
+	AnnounceAddress string
+	// Service is the service beside this daemon.
+	Service ident.Service
+	// BeatEvery is the time between two heartbeats of a target, in
+	// milliseconds.
+	BeatEvery clock.Millis
+	Rates     Rates
+	Retries   Retries
+
 	StoreAddress string
 	// Seeds are member addresses for the first contact while the store is
 	// away.
@@ -125,6 +162,7 @@
 	readBounds(r, s)
 	readTLS(r, s)
 	readTargets(r, s)
+	readPlatform(r, s)
 	r.reportUnknown()
 	if len(r.problems) > 0 {
 		return nil, &InvalidError{File: name, Problems: r.problems}
@@ -141,7 +179,7 @@
 	s.MemberAddress = r.address("daemon", "member_address")
 	s.OperatorAddress = r.address("daemon", "operator_address")
 	s.FleetSecret = r.text("daemon", "fleet_secret", "")
-	if len(s.FleetSecret) < 16 {
+	if len(s.FleetSecret) < 16 && !r.flag("daemon", "trust_network", false) {
 		r.problem("daemon", "fleet_secret", "(hidden)", "give at least 16 characters, alike on every daemon")
 	}
 	level := r.text("daemon", "log_level", "info")
@@ -161,6 +199,31 @@
 	}
 }
 
+// readPlatform reads what a daemon on a platform with its own interface needs.
+func readPlatform(r *reader, s *Settings) {
+	s.Adapter = r.text("platform", "adapter", "")
+	s.Rates.Parts = len(strings.Split(r.text("rate", "data_centres", ""), ","))
+	s.Rates.Window = clock.Millis(r.number("rate", "window_s", 5, 1, 3600)) * clock.Second
+	s.Rates.Overshoot = r.fraction("rate", "overshoot", 0)
+	s.Rates.Slack = r.fraction("rate", "slack", 0)
+	s.Retries.Part = r.fraction("retry", "part", 0.1)
+	s.Retries.Slack = r.fraction("retry", "slack", 10)
+	s.Retries.Window = clock.Millis(r.number("retry", "window_s", 10, 1, 3600)) * clock.Second
+	s.BeatEvery = clock.Millis(r.number("platform", "heartbeat_ms", 1000, 10, 600_000))
+	if s.Adapter == "" {
+		return
+	}
+	if s.Adapter != AdapterKV {
+		r.problem("platform", "adapter", s.Adapter, "use "+AdapterKV+" or leave it empty")
+	}
+	s.ReadyAddress = r.address("platform", "ready_address")
+	s.AnnounceAddress = r.address("platform", "announce_address")
+	s.Service = ident.Service(r.id("platform", "service"))
+}
+
+// AdapterKV is the adapter of the platform whose store speaks HTTP.
+const AdapterKV = "kv"
+
 func readBounds(r *reader, s *Settings) {
 	s.QueueLimit = r.number("limits", "queue_per_target", 64, 1, 100_000)
 	s.MaxRequestBytes = r.number("limits", "max_request_bytes", 1<<20, 1024, 16<<20)
@@ -254,6 +317,19 @@
 	return n
 }
 
+// fraction reads a number of at least 0, with or without decimals.
+func (r *reader) fraction(section, key string, fallback float64) float64 {
+	v := r.text(section, key, "")
+	if v == "" {
+		return fallback
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || n < 0 || n > 1e9 {
+		r.problem(section, key, v, "give a number of at least 0, such as 0.2")
+	}
+	return n
+}
+
 func (r *reader) flag(section, key string, fallback bool) bool {
 	v := r.text(section, key, "")
 	if v == "" {
--- a/stand/memory.go
+++ b/stand/memory.go
@@ -111,6 +111,11 @@
 	return it.entry, nil
 }
 
+// ListStale implements store.Store with what is there now.
+func (m *Memory) ListStale(ctx context.Context, prefix, after string, limit int) ([]store.Entry, store.Revision, error) {
+	return m.List(ctx, prefix, after, limit)
+}
+
 // List implements store.Store.
 func (m *Memory) List(ctx context.Context, prefix, after string, limit int) ([]store.Entry, store.Revision, error) {
 	if err := m.enter(ctx, "list", &m.counts.Reads); err != nil {
--- a/store/client.go
+++ b/store/client.go
@@ -64,6 +64,11 @@
 	return entries, Revision(r.GetRevision()), nil
 }
 
+// ListStale implements Store. The protocol has no cheaper reading.
+func (c *Client) ListStale(ctx context.Context, prefix, after string, limit int) ([]Entry, Revision, error) {
+	return c.List(ctx, prefix, after, limit)
+}
+
 // Swap implements Store.
 func (c *Client) Swap(ctx context.Context, key string, want Revision, value []byte, lease LeaseID) (Revision, error) {
 	return c.swap(ctx, &kvapi.SwapRequest{Key: key, Want: uint64(want), Value: value, Lease: uint64(lease)})
--- a/store/store.go
+++ b/store/store.go
@@ -11,6 +11,8 @@
 	"github.com/go-faster/errors"
 )
 
+//go:generate enumer -type=Cause -transform=snake -trimprefix=Cause -output=store_enumer.go
+
 // Revision is the store's own write counter.
 type Revision uint64
 
@@ -47,6 +49,9 @@
 	// List returns at most limit entries whose key starts with prefix and
 	// sorts behind after, in key order, with the store's revision.
 	List(ctx context.Context, prefix, after string, limit int) ([]Entry, Revision, error)
+	// ListStale is List, cheaper where the platform offers it, with a result
+	// that may be seconds old.
+	ListStale(ctx context.Context, prefix, after string, limit int) ([]Entry, Revision, error)
 	// Swap writes value if the key is at revision want; else it returns a
 	// ConflictError with the current entry.
 	Swap(ctx context.Context, key string, want Revision, value []byte, lease LeaseID) (Revision, error)
@@ -57,7 +62,8 @@
 	// Renew extends a lease, or returns a LeaseLostError.
 	Renew(ctx context.Context, lease LeaseID) error
 	// Watch calls fn for each event after the given revision until ctx ends
-	// or the store fails.
+	// or the store fails. It returns a CompactedError if the events after the
+	// revision are gone.
 	Watch(ctx context.Context, prefix string, after Revision, fn func(Event)) error
 }
 
@@ -90,15 +96,48 @@
 		e.Key, e.Current.Revision, e.Want)
 }
 
+// Cause tells how a call to the store failed.
+type Cause int
+
+// Causes of a failed call.
+const (
+	// CauseSilent is a call without an answer in time. It may still run.
+	CauseSilent Cause = iota
+	// CauseReset is a connection that broke. The call may have run.
+	CauseReset
+	// CauseDown is the store's word that it did nothing.
+	CauseDown
+	// CauseThrottled is a call over the store's rate, which did nothing.
+	CauseThrottled
+	// CauseMalformed is an answer that cannot be read. The call may have run.
+	CauseMalformed
+)
+
 // UnavailableError reports that the store did not answer.
 type UnavailableError struct {
-	Op  string
-	Err error
+	Op    string
+	Err   error
+	Cause Cause
+}
+
+// MayHaveRun reports whether the call can have taken effect, now or later.
+func (e *UnavailableError) MayHaveRun() bool {
+	return e.Cause != CauseDown && e.Cause != CauseThrottled
+}
+
+// CompactedError reports a watch from a revision that the store has dropped.
+type CompactedError struct {
+	After Revision
+}
+
+// Error names the revision.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("store has dropped the events after revision %d: list the keys again", e.After)
 }
 
 // Error names the operation and the cause.
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("store did not answer %s (%v): check store_address and the platform's status, then repeat", e.Op, e.Err)
+	return fmt.Sprintf("store did not answer %s (%s: %v): check store_address and the platform's status, then repeat", e.Op, e.Cause, e.Err)
 }
 
 // Unwrap returns the cause.
--- a/table/snap.go
+++ b/table/snap.go
@@ -19,9 +19,10 @@
 	rev := t.Revision()
 	var buf []byte
 	var err error
-	for k := range t.shards {
-		for i := range t.shards[k] {
-			t.shards[k][i].items.each(func(it []byte) {
+	c := t.content.Load()
+	for k := range c.shards {
+		for i := range c.shards[k] {
+			c.shards[k][i].items.each(func(it []byte) {
 				buf = appendSnapItem(buf, record.Kind(k), it)
 			})
 			if len(buf) >= snapChunkBytes && err == nil {
@@ -93,6 +94,12 @@
 	return nil
 }
 
+// Put adds a record that was read and checked elsewhere.
+func (b *Builder) Put(body record.Body) { b.table.insert(body, nil) }
+
+// Revision returns the revision of the records added so far.
+func (b *Builder) Revision() ident.Revision { return b.rev }
+
 // SetRevision sets the revision of the records added so far.
 func (b *Builder) SetRevision(rev ident.Revision) { b.rev = rev }
 
@@ -104,17 +111,7 @@
 	if b.rev <= t.Revision() {
 		return false
 	}
-	for k := range t.shards {
-		for i := range t.shards[k] {
-			s := &t.shards[k][i]
-			s.mu.Lock()
-			s.items = b.table.shards[k][i].items
-			s.mu.Unlock()
-		}
-	}
-	t.hosts.mu.Lock()
-	t.hosts.items = b.table.hosts.items
-	t.hosts.mu.Unlock()
+	t.content.Store(b.table.content.Load())
 	t.history = nil
 	t.skipped = b.table.skipped
 	t.revision.Store(uint64(b.rev))
--- a/table/table.go
+++ b/table/table.go
@@ -32,13 +32,29 @@
 	items *arena
 }
 
+// content holds the records of a table. A snapshot replaces it as a whole, so
+// that no reader sees half of it.
+type content struct {
+	shards [kindCount][shardCount]shard
+	// hosts finds routes by host and prefix.
+	hosts hostIndex
+}
+
+func newContent() *content {
+	c := &content{}
+	for k := range c.shards {
+		for i := range c.shards[k] {
+			c.shards[k][i].items = newArena(itemHash(record.Kind(k)))
+		}
+	}
+	c.hosts.init()
+	return c
+}
+
 // Table is the working copy. It is safe for concurrent use.
 type Table struct {
 	revision atomic.Uint64
-	shards   [kindCount][shardCount]shard
-
-	// hosts finds routes by host and prefix.
-	hosts hostIndex
+	content  atomic.Pointer[content]
 
 	// applyMu orders writers; history is under it.
 	applyMu sync.Mutex
@@ -52,12 +68,7 @@
 // New returns an empty table at revision 0.
 func New() *Table {
 	t := &Table{}
-	for k := range t.shards {
-		for i := range t.shards[k] {
-			t.shards[k][i].items = newArena(itemHash(record.Kind(k)))
-		}
-	}
-	t.hosts.init()
+	t.content.Store(newContent())
 	return t
 }
 
@@ -164,7 +175,7 @@
 	s.items.insert(item)
 	s.mu.Unlock()
 	if r, ok := body.(record.Route); ok {
-		t.hosts.put(r.Host, r.Prefix, r.ID)
+		t.content.Load().hosts.put(r.Host, r.Prefix, r.ID)
 	}
 }
 
@@ -177,7 +188,7 @@
 		}
 	case record.KindRoute:
 		if r, ok := t.RouteByID(ident.Route(id)); ok {
-			t.hosts.remove(r.Host, r.Prefix, r.ID)
+			t.content.Load().hosts.remove(r.Host, r.Prefix, r.ID)
 		}
 		t.removeAt(k, hashString(id), id)
 	default:
@@ -196,7 +207,7 @@
 }
 
 func (t *Table) shard(k record.Kind, h uint64) *shard {
-	return &t.shards[k][h>>60&(shardCount-1)]
+	return &t.content.Load().shards[k][h>>60&(shardCount-1)]
 }
 
 func (t *Table) lookup(k record.Kind, id string) (record.Body, bool) {
@@ -271,9 +282,10 @@
 // Match returns the route with the longest prefix of path, first for the host
 // and then for every host.
 func (t *Table) Match(host, path string) (record.Route, bool) {
+	hosts := &t.content.Load().hosts
 	for _, h := range [2]string{host, ""} {
 		for p := path; p != ""; p = parent(p) {
-			if id, ok := t.hosts.get(h, p); ok {
+			if id, ok := hosts.get(h, p); ok {
 				return t.RouteByID(id)
 			}
 		}
@@ -318,9 +330,10 @@
 // Counts returns the number of records by kind.
 func (t *Table) Counts() map[string]int {
 	out := map[string]int{}
-	for k := range t.shards {
-		for i := range t.shards[k] {
-			s := &t.shards[k][i]
+	c := t.content.Load()
+	for k := range c.shards {
+		for i := range c.shards[k] {
+			s := &c.shards[k][i]
 			s.mu.RLock()
 			out[record.Kind(k).String()] += s.items.live
 			s.mu.RUnlock()
@@ -331,10 +344,11 @@
 
 // Bytes returns the memory of the arenas and indexes.
 func (t *Table) Bytes() int {
-	total := t.hosts.bytes()
-	for k := range t.shards {
-		for i := range t.shards[k] {
-			s := &t.shards[k][i]
+	c := t.content.Load()
+	total := c.hosts.bytes()
+	for k := range c.shards {
+		for i := range c.shards[k] {
+			s := &c.shards[k][i]
 			s.mu.RLock()
 			total += s.items.bytes()
 			s.mu.RUnlock()
@@ -345,3 +359,19 @@
 
 // errSnapshot reports a snapshot that does not parse.
 var errSnapshot = errors.New("snapshot is damaged: take it from another peer")
+
+// HasTeams reports whether the configuration names any team. Without teams no
+// route needs a key.
+func (t *Table) HasTeams() bool {
+	c := t.content.Load()
+	for i := range c.shards[record.KindTeam] {
+		s := &c.shards[record.KindTeam][i]
+		s.mu.RLock()
+		n := s.items.live
+		s.mu.RUnlock()
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -177,7 +178,7 @@
 		for _, path := range []string{"/", "/a", "/a/", "/a/b", "/a/b/c", "/ab", "/b/x", "/c"} {
 			want, wantOK := p.naive.match(h, path)
 			got, ok := p.table.Match(h, path)
-			if ok != wantOK || got != want {
+			if ok != wantOK || !reflect.DeepEqual(got, want) {
 				t.Fatalf("Match(%q, %q) = %+v, %v; want %+v, %v", h, path, got, ok, want, wantOK)
 			}
 		}
