--- a/admin/serve/serve.go
+++ b/admin/serve/serve.go
@@ -66,6 +66,7 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go watchSettings(ctx, opts.File, log, d.Reload)
 	return d.Run(ctx)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -94,6 +94,8 @@
 	near     *near
 	shares   *limit.Shares
 	words    storeWords
+	// live holds the settings that Reload may replace.
+	live atomic.Pointer[setup.Settings]
 	// stopping tells that a planned stop has begun.
 	stopping atomic.Bool
 
@@ -151,6 +153,7 @@
 		superseded:  make(chan struct{}),
 		platform:    p,
 	}
+	d.live.Store(cfg)
 	d.guard = d.newGuard(secret)
 	d.members = newMembers(d, rnd)
 	d.fleet = d.members
@@ -176,9 +179,7 @@
 	d.fleet = d.roster
 	d.docs = newDocs(d)
 	d.near = newNear(d)
-	d.shares = limit.NewShares(limit.ShareConfig{
-		Parts: d.cfg.Rates.Parts, Window: d.cfg.Rates.Window, Overshoot: d.cfg.Rates.Overshoot, Slack: d.cfg.Rates.Slack,
-	})
+	d.shares = limit.NewShares(shareConfig(d.cfg))
 	d.ready = &fasthttp.Server{Handler: d.serveReadiness, NoDefaultServerHeader: true}
 	d.announce = &fasthttp.Server{Handler: d.serveAnnouncements, NoDefaultServerHeader: true}
 }
@@ -419,7 +420,7 @@
 // leave is the planned stop.
 func (d *Daemon) leave() {
 	d.log.Info("daemon is stopping", "timeout_ms", int64(d.cfg.StopTimeout))
-	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.StopTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), (d.cfg.StopTimeout - stopMargin).Duration())
 	defer cancel()
 	d.stopping.Store(true)
 	d.guard.Drain()
@@ -441,6 +442,9 @@
 
 const (
 	leaveStep = 20 * time.Millisecond
+	// stopMargin is the part of stop_timeout_ms that is left for the process
+	// to end before its supervisor kills it.
+	stopMargin = 400 * clock.Millisecond
 	// settleTime lets peers learn that the targets take no new work before
 	// the callers' port closes.
 	settleTime = 700 * time.Millisecond
--- a/daemon/docs.go
+++ b/daemon/docs.go
@@ -100,7 +100,7 @@
 	doc, err := s.d.platform.Document.Read(e.Value)
 	if err != nil {
 		s.d.meter.BadDocuments.Inc()
-		s.d.log.Error("configuration refused, the last one stays in force", "store_revision", uint64(e.Revision), "error", err)
+		s.d.log.Error("configuration refused, the last one stays in force", "key_revision", uint64(e.Revision), "error", err)
 		return
 	}
 	b := table.NewBuilder()
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -13,6 +13,7 @@
 	"chestnutlatch/limit"
 	"chestnutlatch/member"
 	"chestnutlatch/roster"
+	"chestnutlatch/setup"
 	"chestnutlatch/store"
 	"chestnutlatch/wire"
 )
@@ -53,8 +54,11 @@
 	dirty bool
 	rnd   *rand.Rand
 
-	// key is the own key's state, used by the keeping loop only.
-	key ownKey
+	// keyMu is held during the calls that change the own key.
+	keyMu sync.Mutex
+	key   ownKey
+	// left tells that the own key was given up.
+	left bool
 }
 
 type ownKey struct {
@@ -121,9 +125,32 @@
 	change := f.list.Take(f.d.clk.Now(), found, at)
 	f.mu.Unlock()
 	f.apply(change)
+	f.d.picker.SetRetries(retriesOf(f.d.live.Load().Retries, f.count()))
 	return true
 }
 
+const (
+	// retryPart is the part of the fleet's retry budget for each request that
+	// a daemon uses: a repeated request repeats its own calls, which count at
+	// the service called.
+	retryPart = 0.75
+	// retrySlackPart is the same for the budget's slack.
+	retrySlackPart = 0.85
+	// retrySaved is the part of the slack that a daemon may have saved up; the
+	// rest comes with time.
+	retrySaved = 0.5
+)
+
+// retriesOf is one daemon's part of the fleet's retry budget.
+func retriesOf(r setup.Retries, daemons int) choose.Retries {
+	slack := r.Slack * retrySlackPart / float64(max(daemons, 1))
+	return choose.Retries{
+		Part:      r.Part * retryPart,
+		PerSecond: slack * (1 - retrySaved) / float64(r.Window) * float64(clock.Second),
+		Most:      max(slack*retrySaved, 1),
+	}
+}
+
 // apply brings the picker up to a change and asks the missing.
 func (f *rosterFleet) apply(c roster.Change) {
 	for i := range c.Updated {
@@ -193,8 +220,10 @@
 }
 
 func (f *rosterFleet) keepOnce(ctx context.Context, now clock.Millis) {
+	f.keyMu.Lock()
+	defer f.keyMu.Unlock()
 	k := &f.key
-	if k.tried > 0 && now-k.tried < storeRetry {
+	if f.left || k.tried > 0 && now-k.tried < storeRetry {
 		return
 	}
 	f.mu.Lock()
@@ -297,6 +326,9 @@
 func (f *rosterFleet) leave() {
 	ctx, done := context.WithTimeout(context.Background(), vouchTimeout)
 	defer done()
+	f.keyMu.Lock()
+	defer f.keyMu.Unlock()
+	f.left = true
 	if f.key.revision == 0 {
 		return
 	}
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -260,7 +260,7 @@
 	}
 	_ = c.Close()
 	// The answer stands, whatever became of the rest of the body.
-	_ = <-written
+	<-written //nolint:errcheck // the connection is closed in any case
 	return false, err
 }
 
--- a/limit/share.go
+++ b/limit/share.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// SetConfig replaces the data centre's part.
+func (s *Shares) SetConfig(cfg ShareConfig) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg = cfg
+}
+
 func (s *Shares) rate(t record.Team) float64 {
 	return float64(t.Rate) / float64(max(s.cfg.Parts, 1))
 }
--- a/record/check.go
+++ b/record/check.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"chestnutlatch/ident"
 )
 
 // Problem is one fault of a record, with its remedy.
@@ -82,7 +84,7 @@
 	}
 	c.want(r.Attempts <= maxAttempts, "attempts", r.Attempts, "use at most 16")
 	c.want(r.Objective >= 0 && r.Objective <= 600_000, "objective_ms", int64(r.Objective), "use at most 600000")
-	c.want(r.Priority.IsAPriority(), "priority", int(r.Priority), "use low, normal, high or urgent")
+	c.want(r.Priority >= ident.PriorityLow && r.Priority <= ident.PriorityHigh, "priority", int(r.Priority), "use low, normal or high")
 	c.want(r.Timeout >= 1 && r.Timeout <= 600_000, "timeout_ms", int64(r.Timeout), "use 1 to 600000")
 	c.want(!r.OneTime || !r.Open, "access", "open", "a one-time action needs a team: use a keyed route")
 }
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -188,7 +188,7 @@
 		r.problem("daemon", "log_level", level, "use trace, debug, info, warn or error")
 	}
 	s.LogJSON = r.flag("daemon", "log_json", true)
-	s.StopTimeout = clock.Millis(r.number("daemon", "stop_timeout_ms", 15_000, 100, 600_000))
+	s.StopTimeout = clock.Millis(r.number("daemon", "stop_timeout_ms", 15_000, 1000, 600_000))
 	s.MemoryLimitMB = r.number("daemon", "memory_limit_mb", 256, 16, 65_536)
 	s.StoreAddress = r.address("store", "address")
 	for _, seed := range strings.Split(r.text("peers", "seeds", ""), ",") {
