--- a/choose/best.go
+++ b/choose/best.go
@@ -1,6 +1,8 @@
 package choose
 
 import (
+	"fmt"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/health"
 	"chestnutlatch/ident"
@@ -8,10 +10,13 @@
 
 // Costs weigh what speaks against a target, in parts of a request's value.
 type Costs struct {
-	// Region and Far are what it costs to leave the data centre and the
-	// region: paid bytes and time on the way.
+	// Region and Far are what the time on the way costs outside the data
+	// centre and outside the region.
 	Region float64
 	Far    float64
+	// RegionByte and FarByte are what each byte on such links costs.
+	RegionByte float64
+	FarByte    float64
 	// FailOnce and FailSafe are the costs of a failure of a one-time and of an
 	// idempotent request. The latter can be repeated, which makes it the
 	// cheaper witness of a target's recovery.
@@ -27,7 +32,10 @@
 
 // DefaultCosts suit data centres that are joined by links paid by volume.
 func DefaultCosts() Costs {
-	return Costs{Region: 0.2, Far: 0.35, FailOnce: 1, FailSafe: 0.35, Wait: 0.3, Cold: 0.2, Path: 2}
+	return Costs{
+		Region: 0.05, Far: 0.1, RegionByte: 0.05 / 1000, FarByte: 0.08 / 1000,
+		FailOnce: 1, FailSafe: 0.35, Wait: 0.3, Cold: 0.2, Path: 2,
+	}
 }
 
 // nearWait is the part of the slots in use above which another request counts
@@ -45,9 +53,10 @@
 	defer s.mu.Unlock()
 	var best *target
 	least := 0.0
+	near := p.nearBusy(now, s)
 	for _, t := range without(s.eligible(w), w.Skip) {
 		// The random part spreads the daemons over equal targets.
-		cost := p.costOf(now, t, w, costs) + tieBreak*s.rnd.Float64()
+		cost := p.costOf(now, t, w, costs, near) + tieBreak*s.rnd.Float64()
 		if best == nil || cost < least {
 			best, least = t, cost
 		}
@@ -56,25 +65,63 @@
 		return Candidate{}, false
 	}
 	best.mine++
-	return best.Candidate, true
+	c := best.Candidate
+	c.Cost = least
+	c.Suspicion = best.suspicionAt(now)
+	c.Why = fmt.Sprintf("far %d suspicion %.2f busy %.2f age %d", p.distance(best), best.suspicionAt(now), best.busy(now), best.age(now))
+	return c, true
+}
+
+// isKnown reports whether a guard's word on the target is fresh.
+func (t *target) isKnown(now clock.Millis) bool {
+	return t.reported > 0 && now-t.reported <= reportLife
+}
+
+// nearBusy is the mean part of the slots in use at the service's targets that
+// are known, or 0.
+func (p *Picker) nearBusy(now clock.Millis, s *service) float64 {
+	total, n := 0.0, 0
+	for _, t := range s.order {
+		if t.Up && t.isKnown(now) {
+			total += t.busy(now)
+			n++
+		}
+	}
+	return total / float64(max(n, 1))
+}
+
+// age is how old a guard's word on the target is, in milliseconds; -1 if there
+// was none.
+func (t *target) age(now clock.Millis) clock.Millis {
+	if t.reported == 0 {
+		return -1
+	}
+	return now - t.reported
 }
 
 // tieBreak is small against every cost.
 const tieBreak = 0.02
 
-func (p *Picker) costOf(now clock.Millis, t *target, w Want, costs Costs) float64 {
-	cost := costs.FailSafe
-	if w.OneTime {
-		cost = costs.FailOnce
+func (p *Picker) costOf(now clock.Millis, t *target, w Want, costs Costs, near float64) float64 {
+	cost := costs.FailOnce * t.suspicionAt(now)
+	if !w.OneTime {
+		// Nothing known against a target costs nothing: idempotent requests go
+		// to all and so tell how each one fares, new ones too.
+		cost = costs.FailSafe * max(t.suspicionAt(now)-health.DefaultModel().Prior(), 0)
 	}
-	cost *= t.suspicionAt(now)
 	switch p.distance(t) {
 	case 1:
-		cost += costs.Region
+		cost += costs.Region + costs.RegionByte*w.Bytes
 	case 2:
-		cost += costs.Far
+		cost += costs.Far + costs.FarByte*w.Bytes
+	}
+	busy := t.busyWith(now, 1)
+	if !t.isKnown(now) {
+		// A rush comes everywhere at once: a target of which nothing is known
+		// is as busy as the near ones.
+		busy = max(busy, near)
 	}
-	cost += costs.Wait * max(t.busyWith(now, 1)-nearWait, 0)
+	cost += costs.Wait * max(busy-nearWait, 0)
 	if now < t.cold {
 		cost += costs.Cold
 	}
--- a/choose/picker.go
+++ b/choose/picker.go
@@ -32,6 +32,10 @@
 	Slots int
 	// Up tells whether the member is not dead or left.
 	Up bool
+	// Suspicion, Cost and Why are set by Best: what spoke against the target.
+	Suspicion float64
+	Cost      float64
+	Why       string
 }
 
 // Load is a guard's report on a target.
@@ -132,7 +136,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old := s.targets[t]; old != nil {
+	if old := s.targets[t]; old != nil && now >= old.reported {
 		old.load = l
 		old.reported = now
 	}
@@ -157,6 +161,8 @@
 	FloorPercent uint32
 	// Skip holds the targets tried before.
 	Skip []ident.Target
+	// Bytes is what the request and its answer send over the way.
+	Bytes float64
 	// OneTime tells that the request cannot be repeated.
 	OneTime bool
 	// IsDrained reports the operators' word on a target; nil means none.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -92,6 +92,7 @@
 	roster   *rosterFleet
 	docs     *docs
 	near     *near
+	digest   *digest
 	shares   *limit.Shares
 	words    storeWords
 	// live holds the settings that Reload may replace.
@@ -179,6 +180,7 @@
 	d.fleet = d.roster
 	d.docs = newDocs(d)
 	d.near = newNear(d)
+	d.digest = newDigest(d)
 	d.shares = limit.NewShares(shareConfig(d.cfg))
 	d.ready = &fasthttp.Server{Handler: d.serveReadiness, NoDefaultServerHeader: true}
 	d.announce = &fasthttp.Server{Handler: d.serveAnnouncements, NoDefaultServerHeader: true}
--- a/daemon/near.go
+++ b/daemon/near.go
@@ -169,7 +169,7 @@
 	}
 	n.d.shares.Heard(now, from, inc, spends)
 	for _, l := range msg.GetLoads() {
-		n.d.entry.TakeReport(ident.Service(l.GetService()), l)
+		n.d.entry.TakeReport(now, ident.Service(l.GetService()), l)
 	}
 	if ident.Revision(msg.GetRevision()) > n.d.table.Revision() {
 		if address, _, ok := n.d.roster.Locate(from); ok {
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -107,13 +108,18 @@
 	if fresh {
 		list = f.d.store.List
 	}
-	entries, at, err := list(ctx, RosterPrefix, "", rosterLimit)
+	entries, at, err := list(ctx, fleetPrefix, "", rosterLimit)
 	f.d.storeWord("list daemons", err)
 	if err != nil {
 		return false
 	}
 	found := make([]roster.Found, 0, len(entries))
+	now := f.d.clk.Now()
 	for _, e := range entries {
+		if strings.HasPrefix(e.Key, DigestPrefix) {
+			f.d.digest.take(now, e)
+			continue
+		}
 		m, err := member.DecodeMember(e.Value)
 		if err != nil || m.Instance == "" || RosterPrefix+string(m.Instance) != e.Key {
 			f.d.log.Warn("daemon's key cannot be read, it is left out", "key", e.Key, "error", err)
@@ -122,7 +128,7 @@
 		found = append(found, roster.Found{Member: *m, Revision: e.Revision})
 	}
 	f.mu.Lock()
-	change := f.list.Take(f.d.clk.Now(), found, at)
+	change := f.list.Take(now, found, at)
 	f.mu.Unlock()
 	f.apply(change)
 	f.d.picker.SetRetries(retriesOf(f.d.live.Load().Retries, f.count()))
@@ -240,6 +246,7 @@
 	case now-k.renewed >= renewEvery:
 		err = f.renew(ctx, now)
 	default:
+		f.d.digest.tell(ctx, now, k.lease)
 		return
 	}
 	f.d.storeWord("keep own key", err)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,9 +21,16 @@
 	maxGuards = 8
 	// askPause is the time between two questions about a lost answer.
 	askPause = 150 * time.Millisecond
-	// sparePart is the part of a route's objective that a request waits at
-	// one target before another one is tried, one in sparePart.
+	// sparePart is the part of the time left to a route's objective that a
+	// request waits at one target while others may take it at once, one in
+	// sparePart.
 	sparePart = 4
+	// fullGuards is the number of full targets after which the request waits:
+	// when several are full, the service is.
+	fullGuards = 3
+	// knownSuspect is the suspicion of a target that is chosen for want of a
+	// better one; its guard takes the request all the same.
+	knownSuspect = 0.5
 	// retryCapacity is what a caller waits for a service without room.
 	retryCapacity = 400 * clock.Millisecond
 )
@@ -46,13 +53,21 @@
 		return fault.NotRun(fault.Malformed, "a one-time request needs an id: send it in %s", e.Dialect.Attempt)
 	}
 	reply, refusal := e.dispatch(ctx, r)
+	if r.route.Open && (refusal != nil || isServerError(reply)) {
+		e.Guard.CallFailed(e.Clock.Now())
+	}
 	if refusal != nil {
 		return refusal
 	}
+	e.sizes.Add(r.route.ID, len(r.out.GetBody())+headBytes, len(reply.GetAnswer().GetBody())+headBytes)
 	writeAnswer(c, reply.GetAnswer())
 	return nil
 }
 
+// headBytes is about the size of a request's or an answer's head on the inner
+// protocol.
+const headBytes = 250
+
 // takeShare spends one request of this daemon's part of the team's rate.
 func (e *Entry) takeShare(r *request) *fault.Refusal {
 	if r.route.Open || r.team.Rate == 0 || e.Shares == nil {
@@ -74,8 +89,14 @@
 	// reply is the last answer that another target may better.
 	reply *wire.ForwardReply
 	last  *fault.Refusal
-	// suspects were refused since their targets probably fail.
+	// steps tell what each guard said, for the log.
+	steps []string
+	// suspects were refused since their targets probably fail, full since
+	// they would wait too long.
 	suspects []ident.Target
+	full     []ident.Target
+	// settled tells that the request waits wherever it is taken.
+	settled bool
 }
 
 // dispatch finds a target that serves the request. An idempotent one is sent
@@ -83,24 +104,30 @@
 // one-time one moves on only when it certainly has not run.
 func (e *Entry) dispatch(ctx context.Context, r *request) (*wire.ForwardReply, *fault.Refusal) {
 	e.Picker.CountRequest(e.Clock.Now(), r.route.Service)
-	want := choose.Want{Service: r.route.Service, OneTime: r.route.OneTime, IsDrained: e.Table.Draining}
-	var t trail
+	want := choose.Want{
+		Service: r.route.Service, OneTime: r.route.OneTime, Bytes: e.sizes.Of(r.route.ID), IsDrained: e.Table.Draining,
+	}
+	t := &r.trail
 	for t.asked < maxGuards && ctx.Err() == nil {
 		c, ok := e.Picker.Best(e.Clock.Now(), want, e.Costs)
-		if !ok && len(t.suspects) > 0 && !r.out.LastResort {
-			// Every target is suspect: the least one is better than none.
-			r.out.LastResort = true
-			want.Skip = except(want.Skip, t.suspects)
+		if (!ok || len(t.full) >= fullGuards) && len(t.full)+len(t.suspects) > 0 && !t.settled {
+			// Nobody takes it at once: the best of those who would is waited
+			// for, and a suspect target is better than none.
+			if ok {
+				e.Picker.Done(r.route.Service, c.Target)
+			}
+			t.settled = true
+			want.Skip = except(except(want.Skip, t.full), t.suspects)
 			continue
 		}
-		if !ok || t.arrived > 0 && !e.mayRepeat(r, &t) {
+		if !ok || t.arrived > 0 && !e.mayRepeat(r, t) {
 			if ok {
 				e.Picker.Done(r.route.Service, c.Target)
 			}
 			break
 		}
 		want.Skip = append(want.Skip, c.Target)
-		if e.attempt(ctx, r, c, &t) {
+		if e.attempt(ctx, r, c, t) {
 			return t.reply, t.last
 		}
 	}
@@ -147,13 +174,20 @@
 	now := e.Clock.Now()
 	r.out.Target = string(c.Target)
 	r.out.TimeoutMs = uint32(max(r.deadline-now, 1))
-	r.out.SpareMs = uint32(e.spare(r))
+	left := max(objectiveOf(r.route)-(now-r.began), 1)
+	r.out.ObjectiveMs = uint32(left)
+	r.out.SpareMs = uint32(max(left/sparePart, 1))
+	r.out.LastResort = c.Suspicion >= knownSuspect
+	if t.settled {
+		r.out.SpareMs, r.out.LastResort = 0, true
+	}
 	r.out.VoidOnly = false
 	reply, err := e.link.call(ctx, c.Instance, c.Address, r.out)
 	if err != nil {
 		e.Log.Debug("guard not reached", "id", r.out.GetAttempt(), "target", c.Target, "at", c.Instance, "error", err)
 		reply, err = e.recover(ctx, r, c, err)
 	}
+	t.note(c, reply, err, e.Clock.Now()-now)
 	if err != nil {
 		r.unknown = true
 		t.arrived++
@@ -182,15 +216,12 @@
 		return r.route.OneTime
 	case refusal.Kind == fault.Suspect:
 		t.suspects = append(t.suspects, c.Target)
+	case refusal.Kind == fault.QueueFull:
+		t.full = append(t.full, c.Target)
 	}
 	return false
 }
 
-// spare is how long the request may wait at one target.
-func (e *Entry) spare(r *request) clock.Millis {
-	return max(objectiveOf(r.route)/sparePart, 1)
-}
-
 // recover asks the guard of a one-time request for its answer after the path
 // was lost. The guard holds the answer, or voids the request.
 func (e *Entry) recover(ctx context.Context, r *request, c choose.Candidate, lost error) (*wire.ForwardReply, error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,6 +84,7 @@
 	Deps
 	link   *link
 	splits *choose.Splitter
+	sizes  *choose.Sizes
 }
 
 // New returns an entry.
@@ -91,7 +92,7 @@
 	if d.Dialect == (guard.Dialect{}) {
 		d.Dialect = guard.OwnDialect()
 	}
-	e := &Entry{Deps: d, splits: choose.NewSplitter(uint64(d.Incarnation))}
+	e := &Entry{Deps: d, splits: choose.NewSplitter(uint64(d.Incarnation)), sizes: choose.NewSizes()}
 	e.link = newLink(d)
 	return e
 }
@@ -106,6 +107,8 @@
 	// unknown tells that an attempt may have reached a target.
 	unknown bool
 	out     *wire.ForwardRequest
+	// trail is what the guards said.
+	trail trail
 	// deadline is when the caller's time is over.
 	deadline clock.Millis
 }
@@ -124,9 +127,10 @@
 	}
 	if refusal != nil {
 		e.refuse(c, refusal)
-		return
+	} else {
+		e.Meter.Served.Inc()
 	}
-	e.Meter.Served.Inc()
+	e.logEnd(c, r, refusal, time.Since(began))
 }
 
 // byAttempt reports whether callers name their attempts themselves.
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"chestnutlatch/choose"
+	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/guard"
 	"chestnutlatch/ident"
@@ -95,13 +96,13 @@
 
 func (e *Entry) takeReport(s ident.Service, reply *wire.ForwardReply) {
 	if l := reply.GetLoad(); l != nil {
-		e.TakeReport(s, l)
+		e.TakeReport(e.Clock.Now(), s, l)
 	}
 }
 
-// TakeReport takes in a guard's word on a target of a service.
-func (e *Entry) TakeReport(s ident.Service, l *wire.LoadReport) {
-	e.Picker.Report(e.Clock.Now(), s, ident.Target(l.GetTarget()), choose.Load{
+// TakeReport takes in a guard's word, given at a time, on a target of a service.
+func (e *Entry) TakeReport(at clock.Millis, s ident.Service, l *wire.LoadReport) {
+	e.Picker.Report(at, s, ident.Target(l.GetTarget()), choose.Load{
 		State:    ident.TargetState(l.GetState()),
 		InFlight: int(l.GetInFlight()),
 		Queued:   int(l.GetQueued()),
--- /dev/null
+++ b/entry/journal.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"chestnutlatch/choose"
+	"chestnutlatch/clock"
+	"chestnutlatch/fault"
+	"chestnutlatch/guard"
+	"chestnutlatch/wire"
+)
+
+// note keeps what a guard said about a request.
+func (t *trail) note(c choose.Candidate, reply *wire.ForwardReply, err error, took clock.Millis) {
+	word := "lost"
+	switch {
+	case err != nil:
+	case reply.GetRefusal() != nil:
+		word = guard.FromWire(reply.GetRefusal()).Kind.String()
+	default:
+		word = fmt.Sprint(reply.GetAnswer().GetStatus())
+	}
+	t.steps = append(t.steps, fmt.Sprintf("%s@%s(%.2f,%s)=%s/%dms", c.Target, c.Instance, c.Cost, c.Why, word, int64(took)))
+}
+
+// logEnd writes the one line that tells how a request ended and why. It never
+// holds a key.
+func (e *Entry) logEnd(c *fasthttp.RequestCtx, r *request, refusal *fault.Refusal, took time.Duration) {
+	if r == nil {
+		e.Log.Info("request refused", "id", string(c.Request.Header.Peek(e.Dialect.Attempt)), "kind", refusal.Kind,
+			"revision", uint64(e.Table.Revision()))
+		return
+	}
+	args := []any{
+		"id", r.out.GetAttempt(), "route", r.route.ID, "service", r.route.Service, "team", r.team.ID, "one_time", r.route.OneTime,
+		"revision", uint64(e.Table.Revision()), "steps", r.trail.steps, "took_ms", took.Milliseconds(),
+		"limit_ms", int64(r.deadline - r.began),
+	}
+	if refusal == nil {
+		e.Log.Debug("request answered", append(args, "status", c.Response.StatusCode())...)
+		return
+	}
+	e.Log.Info("request refused", append(args, "kind", refusal.Kind, "outcome", refusal.Outcome,
+		"retry_after_ms", int64(refusal.RetryAfter), "status", e.statusOf(refusal))...)
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -8,6 +8,7 @@
 	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/panjf2000/ants/v2"
@@ -63,6 +64,9 @@
 	// isDrained is the operators' word on a target.
 	isDrained func(ident.Target) bool
 
+	// callFailed is when a call of a local target last failed.
+	callFailed atomic.Int64
+
 	mu       sync.RWMutex
 	targets  map[ident.Target]*target
 	gone     map[ident.Target]tomb
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -40,8 +40,13 @@
 		Weight:   max(req.GetWeight(), 1),
 		Deadline: now + timeout,
 	}
+	if objective := clock.Millis(req.GetObjectiveMs()); objective > 0 {
+		job.Start = now + max(objective-clock.Millis(t.usual()/1000), 1)
+	}
 	if spare := clock.Millis(req.GetSpareMs()); spare > 0 {
-		job.Deadline = now + min(timeout, spare)
+		if wait := t.waitFor(now, job.Priority); wait > spare {
+			return nil, refusalOf(fault.QueueFull, t.spec.ID).After(wait), false
+		}
 	}
 	if r := t.acquire(ctx, now, job); r != nil {
 		return nil, r, false
@@ -61,10 +66,13 @@
 	return g.exchange(ctx, t, req, left)
 }
 
-// refuseSuspect sends a one-time action elsewhere while the target probably
-// fails: such an action cannot be repeated.
+// refuseSuspect sends a request elsewhere while the target probably fails. A
+// few idempotent ones, which can be repeated, show whether it is well again.
 func (g *Guard) refuseSuspect(now clock.Millis, t *target, req *wire.ForwardRequest) *fault.Refusal {
-	if g.cfg.RefuseAt <= 0 || !req.GetOneTime() || req.GetLastResort() || t.suspicion(now) < g.cfg.RefuseAt {
+	if g.cfg.RefuseAt <= 0 || req.GetLastResort() || t.suspicion(now) < g.cfg.RefuseAt {
+		return nil
+	}
+	if !req.GetOneTime() && t.mayTest(now) {
 		return nil
 	}
 	return fault.NotRun(fault.Suspect, "target %s probably fails: repeat the request", t.spec.ID)
@@ -83,7 +91,7 @@
 	began := time.Now()
 	err := g.attempt(ctx, t, out, in, !req.GetOneTime())
 	latency := ident.Micros(time.Since(began).Microseconds())
-	t.observe(health.Sample{At: g.clk.Now(), Result: resultOf(err, in.StatusCode()), Latency: latency})
+	t.judgeEnd(g.endOf(t, err, in.StatusCode(), latency))
 	if err != nil {
 		return nil, explain(err, t.spec.ID), !errors.Is(err, errDial)
 	}
@@ -174,6 +182,42 @@
 	return a
 }
 
+// endOf is what the end of a request says about its target.
+func (g *Guard) endOf(t *target, err error, status int, took ident.Micros) health.Sample {
+	s := health.Sample{At: g.clk.Now(), Result: resultOf(err, status), Latency: took}
+	switch {
+	case s.Result == health.ResultTimeout && took < ident.Micros(t.usual()*patience):
+		// The caller had little time; the target did not take long.
+		s.Result = health.ResultCanceled
+	case err == nil && s.Result == health.ResultError && g.callFailedDuring(s.At, took):
+		// The target only passes on that a call of its own failed.
+		s.Result = health.ResultCanceled
+	}
+	return s
+}
+
+const (
+	// patience times a target's usual time is what a request may take before
+	// a missing answer speaks against the target.
+	patience = 4
+	// callBlame is how soon after a failed call of its own a target gives up
+	// the request that made it, in milliseconds.
+	callBlame = 250 * clock.Millisecond
+)
+
+// CallFailed notes that a call made by a local target ended without success.
+func (g *Guard) CallFailed(now clock.Millis) {
+	g.callFailed.Store(int64(max(now, 1)))
+}
+
+// callFailedDuring reports whether a call failed late in a request that took
+// so long.
+func (g *Guard) callFailedDuring(now clock.Millis, took ident.Micros) bool {
+	at := clock.Millis(g.callFailed.Load())
+	span := clock.Millis(took / 1000)
+	return at > 0 && now-at <= min(span, callBlame)
+}
+
 func resultOf(err error, status int) health.Result {
 	switch {
 	case errors.Is(err, errCanceled):
--- a/guard/target.go
+++ b/guard/target.go
@@ -37,6 +37,10 @@
 	lastJob queue.JobID
 	// belief is what the requests say about spells of failures.
 	belief *health.Belief
+	// took is the usual time of a request, in microseconds.
+	took float64
+	// tested is when a suspect target was last tested.
+	tested clock.Millis
 	// draining tells that the target or this daemon takes no new work.
 	draining bool
 	// born and sequence are those of the last heartbeat.
@@ -145,12 +149,52 @@
 	return fault.NotRun(k, "target %s is busy and its queue is full: repeat after the given time", id).After(clock.Second)
 }
 
-// observe takes in the end of one request.
-func (t *target) observe(s health.Sample) {
+// judgeEnd takes in what the end of a request says about the target.
+func (t *target) judgeEnd(s health.Sample) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.keeper.Observe(s)
 	t.belief.Observe(s)
+	if s.Result == health.ResultOK {
+		t.took += (float64(s.Latency) - t.took) / usualPart
+	}
+}
+
+// usualPart smooths the usual time: each request counts one part in it.
+const usualPart = 16
+
+// usual is the time that the target usually takes, in microseconds.
+func (t *target) usual() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.took
+}
+
+// waitFor estimates how long a new request waits for a slot.
+func (t *target) waitFor(now clock.Millis, p ident.Priority) clock.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	free := t.queue.Slots() - t.queue.Running()
+	ahead := t.queue.Ahead(now, p) + 1 - free
+	if ahead <= 0 {
+		return 0
+	}
+	return clock.Millis(t.took/1000) * clock.Millis(ahead) / clock.Millis(t.queue.Slots())
+}
+
+// testEvery is the least time between two idempotent requests that test a
+// suspect target, in milliseconds: a test that fails costs a retry.
+const testEvery = 300 * clock.Millisecond
+
+// mayTest allows one request to test the target.
+func (t *target) mayTest(now clock.Millis) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.tested > 0 && now-t.tested < testEvery {
+		return false
+	}
+	t.tested = max(now, 1)
+	return true
 }
 
 // judge moves the health state on and reports whether it changed.
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -38,8 +38,15 @@
 	Weight uint32
 	// Deadline is when the request is of no use any more.
 	Deadline clock.Millis
+	// Start is when the request should have started to be answered in time; 0
+	// means the deadline. A later one goes behind those that can still make
+	// it, whatever its priority: it has lost most of its worth already.
+	Start clock.Millis
 }
 
+// isLate reports whether the job can no longer be answered in time.
+func (j Job) isLate(now clock.Millis) bool { return j.Start > 0 && now > j.Start }
+
 // Effect is what the owner of the queue has to do: Start or Refuse.
 type Effect interface {
 	effect()
@@ -125,14 +132,30 @@
 		effects = append(effects, Refuse{ID: victim, Kind: fault.QueueFull})
 	}
 	q.enqueue(j)
-	return append(effects, q.fill()...)
+	return append(effects, q.fill(now)...)
 }
 
 // Done returns a slot and starts the next job.
 func (q *Queue) Done(now clock.Millis) []Effect {
 	q.running--
 	effects := q.Expire(now)
-	return append(effects, q.fill()...)
+	return append(effects, q.fill(now)...)
+}
+
+// Ahead returns the number of waiting jobs that start before a new one of a
+// priority that is not late.
+func (q *Queue) Ahead(now clock.Millis, p ident.Priority) int {
+	n := 0
+	for _, l := range q.lines {
+		for c := int(p); c < priorityCount; c++ {
+			for _, j := range l.jobs[c] {
+				if !j.isLate(now) {
+					n++
+				}
+			}
+		}
+	}
+	return n
 }
 
 // Cancel drops a waiting job and reports whether it was waiting.
@@ -178,25 +201,33 @@
 }
 
 // fill starts waiting jobs while slots are free.
-func (q *Queue) fill() []Effect {
+func (q *Queue) fill(now clock.Millis) []Effect {
 	var effects []Effect
 	for q.running < q.slots && q.waiting > 0 {
-		j := q.next()
+		j, ok := q.next(func(j Job) bool { return !j.isLate(now) })
+		if !ok {
+			j, _ = q.next(func(Job) bool { return true })
+		}
 		q.running++
 		effects = append(effects, Start{ID: j.ID})
 	}
 	return effects
 }
 
-// next takes the job to start: of the teams that are not ahead of their share,
-// the priority with the lowest virtual time, and in it the team served least.
-func (q *Queue) next() Job {
-	q.floor = q.lowest()
+// next takes the job to start among those that match: of the teams that are not
+// ahead of their share, the priority with the lowest virtual time, and in it
+// the team served least.
+func (q *Queue) next(match func(Job) bool) (Job, bool) {
+	low := q.lowest(match)
+	if math.IsInf(low, 1) {
+		return Job{}, false
+	}
+	q.floor = low
 	q.forgetIdle()
 	best := -1
 	var team ident.Team
 	for p := priorityCount - 1; p >= 0; p-- {
-		t, ok := q.leastServed(p)
+		t, ok := q.leastServed(p, match)
 		if ok && (best < 0 || q.classes[p] < q.classes[best]) {
 			best, team = p, t
 		}
@@ -204,18 +235,33 @@
 	q.classFloor = q.classes[best]
 	q.classes[best] += 1 / priorityWeights[best]
 	l := q.lines[team]
-	j := l.jobs[best][0]
+	i := l.first(best, match)
+	j := l.jobs[best][i]
 	l.pass += 1 / l.weight
-	q.take(l, best, 0)
-	return j
+	q.take(l, best, i)
+	return j, true
+}
+
+// first returns the place of the line's first job of a priority that matches,
+// or -1.
+func (l *line) first(p int, match func(Job) bool) int {
+	for i, j := range l.jobs[p] {
+		if match(j) {
+			return i
+		}
+	}
+	return -1
 }
 
-// lowest returns the virtual time of the waiting team served least.
-func (q *Queue) lowest() float64 {
+// lowest returns the virtual time of the team served least that has a job that
+// matches.
+func (q *Queue) lowest(match func(Job) bool) float64 {
 	low := math.Inf(1)
 	for _, l := range q.lines {
-		if l.count > 0 {
-			low = min(low, l.pass)
+		for p := range l.jobs {
+			if l.first(p, match) >= 0 {
+				low = min(low, l.pass)
+			}
 		}
 	}
 	return low
@@ -231,10 +277,10 @@
 }
 
 // leastServed returns the team with the lowest virtual time that has a job of
-// the priority and is not ahead of its share.
-func (q *Queue) leastServed(p int) (best ident.Team, found bool) {
+// the priority that matches and is not ahead of its share.
+func (q *Queue) leastServed(p int, match func(Job) bool) (best ident.Team, found bool) {
 	for team, l := range q.lines {
-		if len(l.jobs[p]) == 0 || l.pass > q.floor+shareSlack/l.weight {
+		if l.first(p, match) < 0 || l.pass > q.floor+shareSlack/l.weight {
 			continue
 		}
 		if !found || l.pass < q.lines[best].pass || l.pass == q.lines[best].pass && team < best {
