Not ready while the local target leaves; retries shared in the data centre

Found by tracing: the process is alive until the machine goes. Ruled out: an exit of the daemon, a close by its HTTP server.

Retry budgets were each daemon's own and at most one token was saved, so that a sixth of the budget was used; the daemons of a data centre now share it. Idempotent requests avoid known suspects as one-time ones do, and try targets nothing is known of.

--- a/choose/best.go
+++ b/choose/best.go
@@ -18,8 +18,8 @@
 	RegionByte float64
 	FarByte    float64
 	// FailOnce and FailSafe are the costs of a failure of a one-time and of an
-	// idempotent request. The latter can be repeated, which makes it the
-	// cheaper witness of a target's recovery.
+	// idempotent request. The latter can be repeated, but within a budget that
+	// a spell of a third of a service uses up.
 	FailOnce float64
 	FailSafe float64
 	// Wait is the cost of one request waiting ahead for each slot.
@@ -34,7 +34,7 @@
 func DefaultCosts() Costs {
 	return Costs{
 		Region: 0.05, Far: 0.1, RegionByte: 0.05 / 1000, FarByte: 0.08 / 1000,
-		FailOnce: 1, FailSafe: 0.35, Wait: 0.3, Cold: 0.2, Path: 2,
+		FailOnce: 1, FailSafe: 0.9, Wait: 0.3, Cold: 0.2, Path: 2,
 	}
 }
 
--- a/choose/budget.go
+++ b/choose/budget.go
@@ -1,6 +1,8 @@
 package choose
 
 import (
+	"sort"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
 )
@@ -25,11 +27,29 @@
 	p.retries.Store(&r)
 }
 
+// RetryCount is what one daemon has asked of a service since it started.
+type RetryCount struct {
+	Service  ident.Service
+	Requests uint64
+	Retries  uint64
+}
+
 // budget counts the retries that a service may still make.
 type budget struct {
 	tokens float64
 	at     clock.Millis
 	seen   bool
+	// requests and retries are this daemon's own.
+	requests uint64
+	retries  uint64
+	// heard is what other daemons that share the budget told last.
+	heard map[ident.Instance]heardCount
+}
+
+type heardCount struct {
+	inc      ident.Incarnation
+	requests uint64
+	retries  uint64
 }
 
 func (b *budget) refill(now clock.Millis, r *Retries) {
@@ -53,6 +73,7 @@
 	r := p.retries.Load()
 	s.budget.refill(now, r)
 	s.budget.add(r.Part, r)
+	s.budget.requests++
 }
 
 // MayRetry takes one retry from a service's budget.
@@ -65,5 +86,43 @@
 		return false
 	}
 	s.budget.tokens--
+	s.budget.retries++
 	return true
 }
+
+// RetryCounts returns this daemon's counts of every service.
+func (p *Picker) RetryCounts() []RetryCount {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var out []RetryCount
+	for id, s := range p.services {
+		s.mu.Lock()
+		if s.budget.requests > 0 {
+			out = append(out, RetryCount{Service: id, Requests: s.budget.requests, Retries: s.budget.retries})
+		}
+		s.mu.Unlock()
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	return out
+}
+
+// HeardRetries takes in the counts of another daemon that shares the budget.
+// What it counted before it was first heard is left out.
+func (p *Picker) HeardRetries(now clock.Millis, from ident.Instance, inc ident.Incarnation, c RetryCount) {
+	s := p.service(c.Service, true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := &s.budget
+	if b.heard == nil {
+		b.heard = map[ident.Instance]heardCount{}
+	}
+	was, known := b.heard[from]
+	b.heard[from] = heardCount{inc, c.Requests, c.Retries}
+	if !known || was.inc != inc || c.Requests < was.requests || c.Retries < was.retries {
+		return
+	}
+	r := p.retries.Load()
+	b.refill(now, r)
+	b.add(float64(c.Requests-was.requests)*r.Part, r)
+	b.tokens -= float64(c.Retries - was.retries)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -431,19 +431,24 @@
 		d.slots.release(ctx)
 	}
 	d.settle(ctx)
+	d.fleet.leave()
+	cut := time.AfterFunc((d.cfg.StopTimeout - stopCut).Duration()-d.settleSpan(), d.entry.Cut)
+	defer cut.Stop()
 	if err := d.callers.ShutdownWithContext(ctx); err != nil {
 		d.log.Warn("callers were cut off", "error", err)
 	}
 	for !d.guard.IsIdle() && ctx.Err() == nil {
 		time.Sleep(leaveStep)
 	}
-	d.fleet.leave()
 	d.stopInner(ctx)
 	d.log.Info("daemon stopped")
 }
 
 const (
 	leaveStep = 20 * time.Millisecond
+	// stopCut is how long before the supervisor kills the process the callers
+	// that still wait are answered.
+	stopCut = clock.Second
 	// stopMargin is the part of stop_timeout_ms that is left for the process
 	// to end before its supervisor kills it.
 	stopMargin = 400 * clock.Millisecond
--- a/daemon/near.go
+++ b/daemon/near.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"chestnutlatch/choose"
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
 	"chestnutlatch/limit"
@@ -82,6 +83,9 @@
 	for _, s := range n.d.shares.Spent() {
 		msg.Spends = append(msg.Spends, &wire.TeamSpend{Team: string(s.Team), Count: s.Count})
 	}
+	for _, c := range n.d.picker.RetryCounts() {
+		msg.Retries = append(msg.Retries, &wire.ServiceRetries{Service: string(c.Service), Requests: c.Requests, Retries: c.Retries})
+	}
 	news := n.news(msg)
 	if news == n.last && now-n.sent < nearEvery {
 		return
@@ -105,6 +109,9 @@
 	for _, s := range msg.GetSpends() {
 		key = appendNumber(key, s.GetCount())
 	}
+	for _, c := range msg.GetRetries() {
+		key = appendNumber(key, c.GetRetries())
+	}
 	key = appendNumber(key, msg.GetRevision())
 	for _, l := range msg.GetLoads() {
 		key = appendNumber(key, uint64(l.GetState()))
@@ -168,6 +175,11 @@
 		spends = append(spends, limit.Spend{Team: ident.Team(s.GetTeam()), Count: s.GetCount()})
 	}
 	n.d.shares.Heard(now, from, inc, spends)
+	for _, c := range msg.GetRetries() {
+		n.d.picker.HeardRetries(now, from, inc, choose.RetryCount{
+			Service: ident.Service(c.GetService()), Requests: c.GetRequests(), Retries: c.GetRetries(),
+		})
+	}
 	for _, l := range msg.GetLoads() {
 		n.d.entry.TakeReport(now, ident.Service(l.GetService()), l)
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -32,6 +32,8 @@
 		c.Error("unknown path", fasthttp.StatusNotFound)
 	case d.stopping.Load():
 		c.Error("daemon is stopping", fasthttp.StatusServiceUnavailable)
+	case d.guard.IsLeaving():
+		c.Error("the target here leaves, and its instance with it", fasthttp.StatusServiceUnavailable)
 	case d.table.Revision() == 0:
 		c.Error("no configuration yet", fasthttp.StatusServiceUnavailable)
 	default:
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -131,25 +131,26 @@
 	change := f.list.Take(now, found, at)
 	f.mu.Unlock()
 	f.apply(change)
-	f.d.picker.SetRetries(retriesOf(f.d.live.Load().Retries, f.count()))
+	f.d.picker.SetRetries(retriesOf(f.d.live.Load().Retries, f.d.live.Load().Rates.Parts))
 	return true
 }
 
 const (
 	// retryPart is the part of the fleet's retry budget for each request that
-	// a daemon uses: a repeated request repeats its own calls, which count at
+	// is used: a repeated request repeats its own calls, which count at
 	// the service called.
-	retryPart = 0.75
+	retryPart = 0.8
 	// retrySlackPart is the same for the budget's slack.
 	retrySlackPart = 0.85
-	// retrySaved is the part of the slack that a daemon may have saved up; the
+	// retrySaved is the part of the slack that may be saved up; the
 	// rest comes with time.
 	retrySaved = 0.5
 )
 
-// retriesOf is one daemon's part of the fleet's retry budget.
-func retriesOf(r setup.Retries, daemons int) choose.Retries {
-	slack := r.Slack * retrySlackPart / float64(max(daemons, 1))
+// retriesOf is one data centre's part of the fleet's retry budget. Its daemons
+// tell each other what they use.
+func retriesOf(r setup.Retries, parts int) choose.Retries {
+	slack := r.Slack * retrySlackPart / float64(max(parts, 1))
 	return choose.Retries{
 		Part:      r.Part * retryPart,
 		PerSecond: slack * (1 - retrySaved) / float64(r.Window) * float64(clock.Second),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,6 +85,9 @@
 	link   *link
 	splits *choose.Splitter
 	sizes  *choose.Sizes
+	// base ends when the requests that still wait must be answered.
+	base context.Context
+	cut  context.CancelFunc
 }
 
 // New returns an entry.
@@ -93,6 +96,7 @@
 		d.Dialect = guard.OwnDialect()
 	}
 	e := &Entry{Deps: d, splits: choose.NewSplitter(uint64(d.Incarnation)), sizes: choose.NewSizes()}
+	e.base, e.cut = context.WithCancel(context.Background())
 	e.link = newLink(d)
 	return e
 }
@@ -133,6 +137,10 @@
 	e.logEnd(c, r, refusal, time.Since(began))
 }
 
+// Cut ends the requests under way, for a planned stop whose time is over. Those
+// that wait for a slot are told that they have not run.
+func (e *Entry) Cut() { e.cut() }
+
 // byAttempt reports whether callers name their attempts themselves.
 func (e *Entry) byAttempt() bool { return e.Dialect.Attempt != "" }
 
@@ -211,7 +219,7 @@
 
 // serve spends the rate and forwards the request.
 func (e *Entry) serve(c *fasthttp.RequestCtx, r *request) *fault.Refusal {
-	ctx, cancel := context.WithTimeout(context.Background(), (r.deadline - e.Clock.Now()).Duration())
+	ctx, cancel := context.WithTimeout(e.base, (r.deadline - e.Clock.Now()).Duration())
 	defer cancel()
 	stop := watchCaller(c, cancel)
 	defer stop()
--- a/guard/beat.go
+++ b/guard/beat.go
@@ -54,6 +54,7 @@
 	t.born, t.sequence, t.heard = b.Born, b.Sequence, max(now, 1)
 	t.coldUntil = now + b.Cold
 	drain := b.Draining || g.draining
+	g.leaving = b.Draining
 	if t.draining != drain {
 		changed = true
 	}
@@ -115,7 +116,16 @@
 	born := t.born
 	t.mu.Unlock()
 	g.gone[id] = tomb{born: born, at: now}
+	g.leaving = true
 	t.setDraining(true)
 	g.log.Info("target leaves", "target", id)
 	return true
 }
+
+// IsLeaving reports whether the last word of a local target was that it
+// leaves. Its instance goes with it, and the callers there.
+func (g *Guard) IsLeaving() bool {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.leaving
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -71,6 +71,8 @@
 	targets  map[ident.Target]*target
 	gone     map[ident.Target]tomb
 	draining bool
+	// leaving tells that the last heartbeat was that of a target that leaves.
+	leaving bool
 }
 
 // Deps are what a guard works with.
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -40,10 +40,18 @@
 		Weight:   max(req.GetWeight(), 1),
 		Deadline: now + timeout,
 	}
+	if g.cfg.Dialect.Attempt != "" {
+		// What cannot end in time would only take a slot from others.
+		job.Deadline = now + max(timeout-t.needs(job.Priority), 1)
+	}
 	if objective := clock.Millis(req.GetObjectiveMs()); objective > 0 {
-		job.Start = now + max(objective-clock.Millis(t.usual()/1000), 1)
+		job.Start = now + max(objective-t.needs(job.Priority), 1)
+	}
+	spare := clock.Millis(req.GetSpareMs())
+	if spare == 0 {
+		spare = job.Deadline - now
 	}
-	if spare := clock.Millis(req.GetSpareMs()); spare > 0 {
+	if g.cfg.Dialect.Attempt != "" {
 		if wait := t.waitFor(now, job.Priority); wait > spare {
 			return nil, refusalOf(fault.QueueFull, t.spec.ID).After(wait), false
 		}
@@ -91,7 +99,7 @@
 	began := time.Now()
 	err := g.attempt(ctx, t, out, in, !req.GetOneTime())
 	latency := ident.Micros(time.Since(began).Microseconds())
-	t.judgeEnd(g.endOf(t, err, in.StatusCode(), latency))
+	t.judgeEnd(g.endOf(t, err, in.StatusCode(), latency), ident.Priority(req.GetPriority()))
 	if err != nil {
 		return nil, explain(err, t.spec.ID), !errors.Is(err, errDial)
 	}
--- a/guard/target.go
+++ b/guard/target.go
@@ -39,6 +39,9 @@
 	belief *health.Belief
 	// took is the usual time of a request, in microseconds.
 	took float64
+	// need is the time of a request by priority, in microseconds, weighted by
+	// length.
+	need [ident.PriorityUrgent + 1]float64
 	// tested is when a suspect target was last tested.
 	tested clock.Millis
 	// draining tells that the target or this daemon takes no new work.
@@ -150,16 +153,33 @@
 }
 
 // judgeEnd takes in what the end of a request says about the target.
-func (t *target) judgeEnd(s health.Sample) {
+func (t *target) judgeEnd(s health.Sample, p ident.Priority) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.keeper.Observe(s)
 	t.belief.Observe(s)
 	if s.Result == health.ResultOK {
 		t.took += (float64(s.Latency) - t.took) / usualPart
+		need := &t.need[min(max(p, 0), ident.PriorityUrgent)]
+		if *need == 0 {
+			*need = float64(s.Latency)
+		}
+		// Each request counts by its length, so that many short ones do not
+		// hide what the long ones need.
+		weight := float64(s.Latency) / (float64(s.Latency) + *need)
+		*need += (float64(s.Latency) - *need) * weight * 2 / usualPart
 	}
 }
 
+// needs is the time that a request of a priority needs for most of its kind.
+func (t *target) needs(p ident.Priority) clock.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return clock.Millis(t.need[p] / microsPerMilli)
+}
+
+const microsPerMilli = 1000
+
 // usualPart smooths the usual time: each request counts one part in it.
 const usualPart = 16
 
@@ -179,7 +199,7 @@
 	if ahead <= 0 {
 		return 0
 	}
-	return clock.Millis(t.took/1000) * clock.Millis(ahead) / clock.Millis(t.queue.Slots())
+	return clock.Millis(t.took/microsPerMilli) * clock.Millis(ahead) / clock.Millis(t.queue.Slots())
 }
 
 // testEvery is the least time between two idempotent requests that test a
