Find silent target connections by keep-alive, not by breaking off slow work

Ruled out: the stop itself (the cut came from another instance's guard).

Also: a wait costs less than a probable failure; calls made by repeated requests are charged to the retry budget.

--- a/choose/best.go
+++ b/choose/best.go
@@ -22,8 +22,10 @@
 	// a spell of a third of a service uses up.
 	FailOnce float64
 	FailSafe float64
-	// Wait is the cost of one request waiting ahead for each slot.
-	Wait float64
+	// Wait is the cost of one request waiting ahead for each slot. MostWait
+	// bounds it: a late answer is worth less, but more than a failure.
+	Wait     float64
+	MostWait float64
 	// Cold is the cost of a target that has just started.
 	Cold float64
 	// Path is the cost of a path that failed lately.
@@ -34,7 +36,7 @@
 func DefaultCosts() Costs {
 	return Costs{
 		Region: 0.05, Far: 0.1, RegionByte: 0.05 / 1000, FarByte: 0.08 / 1000,
-		FailOnce: 1, FailSafe: 0.9, Wait: 0.3, Cold: 0.2, Path: 2,
+		FailOnce: 1, FailSafe: 0.9, Wait: 0.2, MostWait: 0.6, Cold: 0.2, Path: 2,
 	}
 }
 
@@ -68,6 +70,7 @@
 	c := best.Candidate
 	c.Cost = least
 	c.Suspicion = best.suspicionAt(now)
+	c.Busy = best.busy(now)
 	c.Why = fmt.Sprintf("far %d suspicion %.2f busy %.2f age %d", p.distance(best), best.suspicionAt(now), best.busy(now), best.age(now))
 	return c, true
 }
@@ -121,7 +124,7 @@
 		// is as busy as the near ones.
 		busy = max(busy, near)
 	}
-	cost += costs.Wait * max(busy-nearWait, 0)
+	cost += min(costs.Wait*max(busy-nearWait, 0), costs.MostWait)
 	if now < t.cold {
 		cost += costs.Cold
 	}
--- a/choose/budget.go
+++ b/choose/budget.go
@@ -42,6 +42,8 @@
 	// requests and retries are this daemon's own.
 	requests uint64
 	retries  uint64
+	// owed is the part of a retry that retries does not hold yet.
+	owed float64
 	// heard is what other daemons that share the budget told last.
 	heard map[ident.Instance]heardCount
 }
@@ -90,6 +92,20 @@
 	return true
 }
 
+// ChargeRetries takes a part of a retry that was made elsewhere: the calls of a
+// repeated request are repeats, too. They are not refused.
+func (p *Picker) ChargeRetries(now clock.Millis, id ident.Service, n float64) {
+	s := p.service(id, true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.refill(now, p.retries.Load())
+	s.budget.tokens -= n
+	s.budget.owed += n
+	whole := uint64(s.budget.owed)
+	s.budget.owed -= float64(whole)
+	s.budget.retries += whole
+}
+
 // RetryCounts returns this daemon's counts of every service.
 func (p *Picker) RetryCounts() []RetryCount {
 	p.mu.RLock()
--- a/choose/picker.go
+++ b/choose/picker.go
@@ -32,8 +32,10 @@
 	Slots int
 	// Up tells whether the member is not dead or left.
 	Up bool
-	// Suspicion, Cost and Why are set by Best: what spoke against the target.
+	// Suspicion, Busy, Cost and Why are set by Best: what spoke against the
+	// target. Busy is the part of the slots in use, with those who wait.
 	Suspicion float64
+	Busy      float64
 	Cost      float64
 	Why       string
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -211,6 +211,7 @@
 		cfg.Dialect = d.platform.Dialect
 		cfg.AnnounceLife = d.cfg.BeatEvery * beatsMissed
 		cfg.RefuseAt = refuseAt
+		cfg.KeepAlive = true
 		deps.Attempts = once.NewAttempts(once.AttemptConfig{
 			Keep: keepAttempts, MaxOpen: d.cfg.MaxTickets, MaxKeptBytes: d.cfg.KeptBytes,
 		})
@@ -432,7 +433,7 @@
 	}
 	d.settle(ctx)
 	d.fleet.leave()
-	cut := time.AfterFunc((d.cfg.StopTimeout - stopCut).Duration()-d.settleSpan(), d.entry.Cut)
+	cut := time.AfterFunc((d.cfg.StopTimeout-stopCut).Duration()-d.settleSpan(), d.entry.Cut)
 	defer cut.Stop()
 	if err := d.callers.ShutdownWithContext(ctx); err != nil {
 		d.log.Warn("callers were cut off", "error", err)
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -137,11 +137,11 @@
 
 const (
 	// retryPart is the part of the fleet's retry budget for each request that
-	// is used: a repeated request repeats its own calls, which count at
-	// the service called.
-	retryPart = 0.8
+	// is used; the rest covers what daemons spend before they hear of each
+	// other.
+	retryPart = 0.9
 	// retrySlackPart is the same for the budget's slack.
-	retrySlackPart = 0.85
+	retrySlackPart = 0.9
 	// retrySaved is the part of the slack that may be saved up; the
 	// rest comes with time.
 	retrySaved = 0.5
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -25,6 +25,9 @@
 	// request waits at one target while others may take it at once, one in
 	// sparePart.
 	sparePart = 4
+	// waitBusy is the part of the slots in use, with those who wait, from which
+	// the best target is waited for.
+	waitBusy = 3
 	// fullGuards is the number of full targets after which the request waits:
 	// when several are full, the service is.
 	fullGuards = 3
@@ -104,6 +107,9 @@
 // one-time one moves on only when it certainly has not run.
 func (e *Entry) dispatch(ctx context.Context, r *request) (*wire.ForwardReply, *fault.Refusal) {
 	e.Picker.CountRequest(e.Clock.Now(), r.route.Service)
+	if r.route.Open {
+		e.Picker.ChargeRetries(e.Clock.Now(), r.route.Service, e.Guard.RepeatShare())
+	}
 	want := choose.Want{
 		Service: r.route.Service, OneTime: r.route.OneTime, Bytes: e.sizes.Of(r.route.ID), IsDrained: e.Table.Draining,
 	}
@@ -181,6 +187,11 @@
 	if t.settled {
 		r.out.SpareMs, r.out.LastResort = 0, true
 	}
+	if c.Busy > waitBusy {
+		// Everything better is taken: to ask others would only cost time.
+		r.out.SpareMs = 0
+	}
+	r.out.Repeat = t.arrived > 0
 	r.out.VoidOnly = false
 	reply, err := e.link.call(ctx, c.Instance, c.Address, r.out)
 	if err != nil {
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -78,14 +78,16 @@
 type connPool struct {
 	address string
 	dialect Dialect
-	clk     clock.Clock
+	// keepAlive probes open connections.
+	keepAlive bool
+	clk       clock.Clock
 
 	mu   sync.Mutex
 	idle []*targetConn
 }
 
-func newConnPool(address string, d Dialect, clk clock.Clock) *connPool {
-	return &connPool{address: address, dialect: d, clk: clk}
+func newConnPool(address string, cfg Config, clk clock.Clock) *connPool {
+	return &connPool{address: address, dialect: cfg.Dialect, keepAlive: cfg.KeepAlive, clk: clk}
 }
 
 // get returns the newest idle connection that is fit for another exchange, or
@@ -126,8 +128,13 @@
 }
 
 func (p *connPool) dial(ctx context.Context) (*targetConn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	raw, err := d.DialContext(ctx, "tcp", p.address)
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	if p.keepAlive {
+		dial = func(ctx context.Context, _, address string) (net.Conn, error) {
+			return sock.Dial(ctx, address, dialTimeout)
+		}
+	}
+	raw, err := dial(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, errors.Wrap(errDial, err.Error())
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -39,6 +39,10 @@
 	Incarnation ident.Incarnation
 	// Dialect names the headers towards targets.
 	Dialect Dialect
+	// KeepAlive finds silent connections by TCP probes. Without it, a reused
+	// connection that gives no byte for half of the time left is given up,
+	// which also breaks off requests that only take long.
+	KeepAlive bool
 	// RefuseAt is the suspicion, 0 to 1, from which a one-time action is sent
 	// elsewhere; 0 leaves the choice to the entry.
 	RefuseAt float64
@@ -64,6 +68,8 @@
 	// isDrained is the operators' word on a target.
 	isDrained func(ident.Target) bool
 
+	// repeats counts the running requests that reached another target before.
+	repeats atomic.Int64
 	// callFailed is when a call of a local target last failed.
 	callFailed atomic.Int64
 
@@ -233,6 +239,20 @@
 	return changed
 }
 
+// RepeatShare is the part of the running requests that are repeats, 0 to 1. The
+// calls that local targets make are repeats in the same part.
+func (g *Guard) RepeatShare() float64 {
+	repeats := g.repeats.Load()
+	if repeats == 0 {
+		return 0
+	}
+	running := 0
+	for _, t := range g.list() {
+		running += t.running()
+	}
+	return min(float64(repeats)/float64(max(running, 1)), 1)
+}
+
 func (g *Guard) find(id ident.Target) *target {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -60,6 +60,10 @@
 		return nil, r, false
 	}
 	defer func() { t.release(g.clk.Now()) }()
+	if req.GetRepeat() {
+		g.repeats.Add(1)
+		defer g.repeats.Add(-1)
+	}
 	if ctx.Err() != nil {
 		return nil, fault.NotRun(fault.Canceled, "request ended while it waited for target %s", t.spec.ID), false
 	}
@@ -133,7 +137,7 @@
 // load twice.
 func (g *Guard) attempt(ctx context.Context, t *target, out *fasthttp.Request, in *fasthttp.Response, idempotent bool) error {
 	var firstByte time.Duration
-	if idempotent {
+	if idempotent && !g.cfg.KeepAlive {
 		firstByte = firstByteWait(ctx)
 	}
 	err := t.conns.exchange(ctx, out, in, g.cfg.MaxAnswerBytes, firstByte)
--- a/guard/target.go
+++ b/guard/target.go
@@ -66,7 +66,7 @@
 	d := health.NewCombined()
 	return &target{
 		spec:     s,
-		conns:    newConnPool(s.Address, cfg.Dialect, clk),
+		conns:    newConnPool(s.Address, cfg, clk),
 		belief:   health.NewBelief(health.DefaultModel(), clk.Now()),
 		queue:    queue.New(s.Slots, cfg.QueueLimit),
 		detector: d,
@@ -291,6 +291,12 @@
 	return t.belief.At(now)
 }
 
+func (t *target) running() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.queue.Running()
+}
+
 // isIdle reports whether nothing runs or waits.
 func (t *target) isIdle() bool {
 	t.mu.Lock()
