--- a/daemon/docs.go
+++ b/daemon/docs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -151,19 +152,45 @@
 	}
 }
 
-// askAround asks a few daemons of other data centres for their revision.
+// askAround asks a few daemons for their revision, and tells them of this one:
+// those of other data centres, the own ones tell theirs all the time. A daemon
+// that knows none asks the seeds of its settings.
 func (s *docs) askAround(ctx context.Context) {
 	far := s.d.roster.others(func(m *member.Member) bool { return m.DataCentre != s.d.cfg.DataCentre })
 	s.d.roster.shuffle(far)
+	var addresses []string
 	for _, m := range far[:min(askCount, len(far))] {
-		reply, err := s.d.roster.ping(m.InnerAddress)
+		addresses = append(addresses, m.InnerAddress)
+	}
+	if len(far) == 0 {
+		addresses = s.d.seedAddresses()
+	}
+	for _, address := range addresses {
+		reply, err := s.d.roster.introduce(address)
 		if err != nil {
+			s.d.log.Debug("peer not asked", "address", address, "error", err)
 			continue
 		}
 		if ident.Revision(reply.GetRevision()) > s.d.table.Revision() {
-			s.pull(ctx, m.InnerAddress)
+			s.pull(ctx, address)
+		}
+	}
+}
+
+// seedAddresses returns the inner addresses of the seeds. Ports are the same on
+// every instance.
+func (d *Daemon) seedAddresses() []string {
+	_, port, err := net.SplitHostPort(d.cfg.InnerAddress)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, seed := range d.cfg.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil && net.JoinHostPort(host, port) != d.cfg.InnerAddress {
+			out = append(out, net.JoinHostPort(host, port))
 		}
 	}
+	return out
 }
 
 // pullAhead takes the configuration from a peer that is still ahead.
--- a/daemon/inner.go
+++ b/daemon/inner.go
@@ -42,8 +42,12 @@
 }
 
 // Ping implements wire.InnerServer.
-func (s *innerServer) Ping(context.Context, *wire.PingRequest) (*wire.PingReply, error) {
-	return &wire.PingReply{Incarnation: uint64(s.d.incarnation), Revision: uint64(s.d.table.Revision())}, nil
+func (s *innerServer) Ping(_ context.Context, req *wire.PingRequest) (*wire.PingReply, error) {
+	reply := &wire.PingReply{Incarnation: uint64(s.d.incarnation), Revision: uint64(s.d.table.Revision())}
+	if len(req.GetSelf()) > 0 && s.d.roster != nil {
+		reply.Members = s.d.roster.meet(req.GetSelf())
+	}
+	return reply, nil
 }
 
 // Tickets implements wire.InnerServer.
--- a/daemon/near.go
+++ b/daemon/near.go
@@ -78,7 +78,7 @@
 func (n *near) tell(now clock.Millis) {
 	msg := &wire.Near{
 		Sender: string(n.d.instance), Incarnation: uint64(n.d.incarnation), Revision: uint64(n.d.table.Revision()),
-		Loads: n.d.guard.Reports(now),
+		Loads: n.d.guard.Reports(now), InnerAddress: n.d.cfg.InnerAddress,
 	}
 	for _, s := range n.d.shares.Spent() {
 		msg.Spends = append(msg.Spends, &wire.TeamSpend{Team: string(s.Team), Count: s.Count})
@@ -184,8 +184,6 @@
 		n.d.entry.TakeReport(now, ident.Service(l.GetService()), l)
 	}
 	if ident.Revision(msg.GetRevision()) > n.d.table.Revision() {
-		if address, _, ok := n.d.roster.Locate(from); ok {
-			n.d.docs.hint(address, ident.Revision(msg.GetRevision()))
-		}
+		n.d.docs.hint(msg.GetInnerAddress(), ident.Revision(msg.GetRevision()))
 	}
 }
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -193,7 +193,7 @@
 	if m.Instance == f.d.instance {
 		return
 	}
-	reply, err := f.ping(m.InnerAddress)
+	reply, err := f.ping(m.InnerAddress, &wire.PingRequest{})
 	if err != nil {
 		return
 	}
@@ -202,14 +202,66 @@
 	f.list.Heard(f.d.clk.Now(), m.Instance, ident.Incarnation(reply.GetIncarnation()))
 }
 
-func (f *rosterFleet) ping(address string) (*wire.PingReply, error) {
+func (f *rosterFleet) ping(address string, req *wire.PingRequest) (*wire.PingReply, error) {
 	client, err := f.d.peers.Get(address)
 	if err != nil {
 		return nil, err
 	}
 	ctx, done := context.WithTimeout(context.Background(), vouchTimeout)
 	defer done()
-	return client.Ping(ctx, &wire.PingRequest{})
+	return client.Ping(ctx, req)
+}
+
+// introduce tells a peer of this daemon and takes in whom the peer knows, while
+// the store tells neither.
+func (f *rosterFleet) introduce(address string) (*wire.PingReply, error) {
+	f.mu.RLock()
+	self, err := member.EncodeMember(&f.self)
+	f.mu.RUnlock()
+	if err != nil {
+		return nil, err
+	}
+	reply, err := f.ping(address, &wire.PingRequest{Self: self})
+	if err != nil {
+		return nil, err
+	}
+	for _, b := range reply.GetMembers() {
+		f.learn(b)
+	}
+	return reply, nil
+}
+
+// learn takes in a record from a peer.
+func (f *rosterFleet) learn(encoded []byte) {
+	m, err := member.DecodeMember(encoded)
+	if err != nil || m.Instance == "" || m.Instance == f.d.instance {
+		return
+	}
+	f.mu.Lock()
+	news := f.list.Learn(f.d.clk.Now(), *m)
+	f.mu.Unlock()
+	if news {
+		f.d.log.Info("daemon learned from a peer", "member", m.Instance, "targets", len(m.Targets))
+		f.put(m)
+	}
+}
+
+// meet answers a peer that introduces itself.
+func (f *rosterFleet) meet(self []byte) [][]byte {
+	f.learn(self)
+	var out [][]byte
+	for _, m := range append(f.others(func(*member.Member) bool { return true }), f.own()) {
+		if b, err := member.EncodeMember(&m); err == nil {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+func (f *rosterFleet) own() member.Member {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.self
 }
 
 // keep holds the own key in the store.
--- /dev/null
+++ b/entry/strict_test.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"chestnutlatch/clock"
+	"chestnutlatch/fault"
+	"chestnutlatch/guard"
+	"chestnutlatch/record"
+)
+
+// TestPathAsSentSelectsTheRoute covers paths that servers read in different
+// ways: what selects the route is what reaches the target.
+func TestPathAsSentSelectsTheRoute(t *testing.T) {
+	for _, path := range []string{
+		"/look/../act", "/look/%2e%2e/act", "/look%2fx", "/look//x", "/look/./x", "/look/..", `/look\x`, "http://any.example/look",
+	} {
+		t.Run(path, func(t *testing.T) {
+			s := newSite(t, [2]string{good, good})
+			status, kind, _ := s.do("GET", path, keyed(), "")
+			if strings.Contains(path, `\`) {
+				// A lone backslash is an odd but plain character.
+				return
+			}
+			if status != 400 || kind != "malformed" || s.hits[0].Load()+s.hits[1].Load() > 0 {
+				t.Errorf("status is %d (%s), %d requests arrived", status, kind, s.hits[0].Load()+s.hits[1].Load())
+			}
+		})
+	}
+	s := newSite(t, [2]string{good, good})
+	if status, _, _ := s.do("GET", "/look/a%20b?x=..//", keyed(), ""); status != 200 {
+		t.Fatalf("status is %d for a plain path", status)
+	}
+	if req, _ := s.seen.Load().(*http.Request); req == nil || req.RequestURI != "/look/a%20b?x=..//" {
+		t.Errorf("target saw %+v", req)
+	}
+}
+
+// TestPlatformPathIsMatchedAsSent covers callers who name their attempts: the
+// path passes byte for byte and is matched as it is.
+func TestPlatformPathIsMatchedAsSent(t *testing.T) {
+	s := newSite(t, [2]string{good, good})
+	s.Dialect = guard.Dialect{Attempt: "X-Id", Timeout: "X-Left"}
+	for path, want := range map[string]int{"/act/../look": 400, "/none/../look": 404, "/look%2fx": 404} {
+		if status, _, _ := s.do("GET", path, keyed(), ""); status != want {
+			t.Errorf("status of %s is %d, want %d", path, status, want)
+		}
+	}
+}
+
+func TestTwoKeysAreRefused(t *testing.T) {
+	s := newSite(t, [2]string{good, good})
+	var c fasthttp.RequestCtx
+	c.Request.SetRequestURI("/look")
+	c.Request.Header.Set("Host", "any.example")
+	c.Request.Header.Add("Authorization", "Bearer secret-key")
+	c.Request.Header.Add("Authorization", "Bearer other-key")
+	s.Handle(&c)
+	if c.Response.StatusCode() != 400 || s.hits[0].Load()+s.hits[1].Load() > 0 {
+		t.Errorf("status is %d with two keys", c.Response.StatusCode())
+	}
+}
+
+// TestErrorsEchoNothing covers what cannot be read: the answer says what is
+// wrong and shows neither the caller's bytes nor inner addresses.
+func TestErrorsEchoNothing(t *testing.T) {
+	s := newSite(t, [2]string{good, good})
+	var c fasthttp.RequestCtx
+	ours, theirs := net.Pipe()
+	_ = theirs.Close()
+	c.Init2(ours, nil, false)
+	s.OnError(&c, errors.New(`error when reading request headers: "secret-bytes" 10.0.0.1:8080`))
+	body := string(c.Response.Body())
+	if c.Response.StatusCode() != 400 || strings.Contains(body, "secret-bytes") || strings.Contains(body, "10.0.0.1") {
+		t.Errorf("answer is %d %s", c.Response.StatusCode(), body)
+	}
+	for _, path := range []string{"/none-secret-bytes", "/look?x"} {
+		var c fasthttp.RequestCtx
+		c.Request.SetRequestURI(path)
+		c.Request.Header.Set("Host", "secret-bytes.example")
+		c.Request.Header.Set("Authorization", "Bearer secret-bytes")
+		c.Request.Header.Set("X-Request-Timeout", "secret-bytes")
+		s.Handle(&c)
+		if strings.Contains(string(c.Response.Body()), "secret-bytes") {
+			t.Errorf("answer to %s echoes: %s", path, c.Response.Body())
+		}
+	}
+}
+
+// TestStatusesArePromises covers callers who take 429 and 503 as the word that
+// nothing has run.
+func TestStatusesArePromises(t *testing.T) {
+	s := newSite(t, [2]string{good, good})
+	s.Dialect = guard.Dialect{Attempt: "X-Id", Timeout: "X-Left"}
+	for _, kind := range fault.KindValues() {
+		notRun, unknown := fault.NotRun(kind, ""), fault.Unknown(kind, "")
+		if got := s.statusOf(unknown); got == 429 || got == 503 || got == 408 || got == 421 {
+			t.Errorf("%s with an unknown outcome has status %d", kind, got)
+		}
+		if got := s.statusOf(notRun); got == 499 || got == 502 {
+			t.Errorf("%s that has not run has status %d", kind, got)
+		}
+	}
+	if got := s.retryAfter(1500 * clock.Millisecond); got != "1.500" {
+		t.Errorf("Retry-After is %s", got)
+	}
+}
+
+// TestRouteAttemptsBoundRetries covers the most targets that a route allows.
+func TestRouteAttemptsBoundRetries(t *testing.T) {
+	for most, want := range map[uint32]int64{1: 1, 2: 2} {
+		s := newSite(t, [2]string{bad, bad})
+		s.Dialect = guard.Dialect{Attempt: "X-Id", Timeout: "X-Left"}
+		r := &request{route: record.Route{ID: "look", Service: "svc", Timeout: 2000, Attempts: most}, deadline: s.Clock.Now() + 2000}
+		var c fasthttp.RequestCtx
+		c.Request.SetRequestURI("/look")
+		r.out = s.toForward(&c, r)
+		reply, refusal := s.dispatch(s.base, r)
+		if n := s.hits[0].Load() + s.hits[1].Load(); n != want || refusal != nil || reply.GetAnswer().GetStatus() != 500 {
+			t.Errorf("%d requests arrived with %d attempts (%v)", n, most, refusal)
+		}
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -101,6 +101,17 @@
 	c.Missing = append(c.Missing, k.Member)
 }
 
+// Learn takes in a record that a daemon told itself, or that a peer knows. The
+// store's word on an instance goes before it. It reports whether it is news.
+func (r *Roster) Learn(now clock.Millis, m member.Member) bool {
+	k := r.members[m.Instance]
+	if k != nil && (k.missing == 0 || k.Member.Incarnation == m.Incarnation && k.Member.Version >= m.Version) {
+		return false
+	}
+	r.members[m.Instance] = &known{Found: Found{Member: m}, missing: max(now, 1), heard: max(now, 1)}
+	return true
+}
+
 // Heard takes in that a daemon answered directly.
 func (r *Roster) Heard(now clock.Millis, id ident.Instance, inc ident.Incarnation) {
 	if k := r.members[id]; k != nil && k.Member.Incarnation == inc {
