Bounded log that never blocks; explain a request from the logs

Lines of refusals, failures and beliefs go before plain successes, which are sampled by request id; a budget of lines and bytes a second, a counter of what was dropped, and a line that says so. A reader that does not read holds nobody (TestBlockedReaderHoldsNobody). Standard output instead of error. chestnutlatch explain ID FILE... prints one request's way.

--- /dev/null
+++ b/admin/explain/explain_test.go
@@ -0,0 +1,63 @@
+package explain
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"chestnutlatch/cmdkit"
+)
+
+const entryLog = `plain text of a collector
+  17.3 node-1 {"@level":"info","@message":"request refused","@timestamp":"2026-01-01T00:00:02Z","id":"a1","instance":"i1","kind":"suspect","outcome":"not_run","revision":7,"steps":["t1@i2(0.90,far 0 suspicion 0.91 busy 0.25 age 12)=suspect/2ms"],"took_ms":3}
+{"@level":"info","@message":"request refused","@timestamp":"2026-01-01T00:00:02Z","id":"a2","instance":"i1","kind":"over_rate"}
+{"@message":"broken","id":"a1"
+`
+
+const guardLog = `{"@level":"info","@message":"target failed a request","@timestamp":"2026-01-01T00:00:01Z","id":"a1","instance":"i2","target":"t1","status":500,"suspicion":0.91}
+`
+
+func TestExplain(t *testing.T) {
+	dir := t.TempDir()
+	entry, guard := filepath.Join(dir, "entry.log"), filepath.Join(dir, "guard.log")
+	for name, text := range map[string]string{entry: entryLog, guard: guardLog} {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tests := []struct {
+		name  string
+		opts  Options
+		in    string
+		want  []string
+		fails string
+	}{
+		{"files in order of time", Options{ID: "a1", Files: []string{entry, guard}}, "", []string{
+			"target failed a request", "request refused", "t1@i2(0.90", "suspect: the targets asked probably failed",
+		}, ""},
+		{"standard input", Options{ID: "a2"}, entryLog, []string{"over_rate: the team's part"}, ""},
+		{"JSON", Options{ID: "a1", JSON: true}, guardLog, []string{`"instance":"i2"`, `"suspicion":0.91`}, ""},
+		{"no such request", Options{ID: "a"}, entryLog, nil, "no line names request"},
+		{"no such file", Options{ID: "a1", Files: []string{filepath.Join(dir, "none")}}, "", nil, "name a readable one"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var out bytes.Buffer
+			tt.opts.Streams = cmdkit.Streams{In: strings.NewReader(tt.in), Out: &out}
+			err := explainRun(&tt.opts)
+			if (err != nil) != (tt.fails != "") || err != nil && !strings.Contains(err.Error(), tt.fails) {
+				t.Fatalf("error is %v, want %q", err, tt.fails)
+			}
+			at := 0
+			for _, want := range tt.want {
+				i := strings.Index(out.String()[at:], want)
+				if i < 0 {
+					t.Fatalf("%q is missing or out of order in\n%s", want, out.String())
+				}
+				at += i
+			}
+		})
+	}
+}
--- a/admin/root.go
+++ b/admin/root.go
@@ -8,6 +8,7 @@
 
 	"chestnutlatch/admin/audit"
 	"chestnutlatch/admin/config"
+	"chestnutlatch/admin/explain"
 	"chestnutlatch/admin/keys"
 	"chestnutlatch/admin/route"
 	"chestnutlatch/admin/serve"
@@ -47,6 +48,7 @@
 		config.NewCmdConfig(f),
 		audit.NewCmdAudit(f, nil),
 		status.NewCmdStatus(f, nil),
+		explain.NewCmdExplain(f, nil),
 	)
 	return cmd
 }
--- a/admin/serve/serve.go
+++ b/admin/serve/serve.go
@@ -13,6 +13,7 @@
 	"chestnutlatch/clock"
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/daemon"
+	"chestnutlatch/logs"
 	"chestnutlatch/platform"
 	"chestnutlatch/setup"
 	"chestnutlatch/store"
@@ -57,13 +58,16 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(cfg.MemoryLimitMB) << 20)
+	clk := clock.NewSystem()
+	out := logs.New(opts.Factory.Streams.Out, logs.Limits{LinesPerSecond: cfg.LogLines, BytesPerSecond: cfg.LogBytes}, clk)
 	log := hclog.New(&hclog.LoggerOptions{
-		Name: "chestnutlatch", Level: cfg.LogLevel, JSONFormat: cfg.LogJSON, Output: opts.Factory.Streams.Err,
+		Name: "chestnutlatch", Level: cfg.LogLevel, JSONFormat: cfg.LogJSON, Output: out,
 	}).With("instance", cfg.Instance)
-	d, err := newDaemon(cfg, log)
+	d, err := newDaemon(cfg, clk, log)
 	if err != nil {
 		return err
 	}
+	d.CountDroppedLines(out.Dropped)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go watchSettings(ctx, opts.File, log, d.Reload)
@@ -71,8 +75,7 @@
 }
 
 // newDaemon makes a daemon for the platform that the settings name.
-func newDaemon(cfg *setup.Settings, log hclog.Logger) (*daemon.Daemon, error) {
-	clk := clock.NewSystem()
+func newDaemon(cfg *setup.Settings, clk clock.Clock, log hclog.Logger) (*daemon.Daemon, error) {
 	if cfg.Adapter != "" {
 		return daemon.NewOn(platform.Adapter(), cfg, clk, log, platform.NewStore(cfg.StoreAddress))
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -229,7 +229,7 @@
 		Clock: d.clk, Log: d.log.Named("entry"), Meter: d.meter,
 		Table: d.table, Picker: d.picker, Purse: d.purse, Guard: d.guard,
 		Peers: d.peers, Fleet: d.fleet, Drawer: d.slots, Pool: d.pool,
-		MaxBody: d.cfg.MaxRequestBytes, Costs: choose.DefaultCosts(),
+		MaxBody: d.cfg.MaxRequestBytes, Costs: choose.DefaultCosts(), LogSample: d.cfg.LogSample,
 	}
 	if d.platform != nil {
 		deps.Dialect = d.platform.Dialect
@@ -452,7 +452,7 @@
 	stopCut = clock.Second
 	// stopMargin is the part of stop_timeout_ms that is left for the process
 	// to end before its supervisor kills it.
-	stopMargin = 400 * clock.Millisecond
+	stopMargin = 600 * clock.Millisecond
 	// settleTime lets peers learn that the targets take no new work before
 	// the callers' port closes.
 	settleTime = 700 * time.Millisecond
--- a/daemon/words.go
+++ b/daemon/words.go
@@ -62,3 +62,8 @@
 	}
 	return c.Current.Revision, true
 }
+
+// CountDroppedLines exports the number of log lines that were not written.
+func (d *Daemon) CountDroppedLines(read func() uint64) {
+	d.meter.Gauge("chestnutlatch_log_lines_dropped", func() float64 { return float64(read()) })
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,6 +69,8 @@
 	// Shares admits requests against this daemon's part of the teams' rates;
 	// nil draws tokens from rate slots.
 	Shares Admitter
+	// LogSample logs one in so many plain successes; 0 logs none.
+	LogSample int
 	// Costs weigh the targets of a request.
 	Costs choose.Costs
 }
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
 	"chestnutlatch/choose"
@@ -30,7 +32,7 @@
 // holds a key.
 func (e *Entry) logEnd(c *fasthttp.RequestCtx, r *request, refusal *fault.Refusal, took time.Duration) {
 	if r == nil {
-		e.Log.Info("request refused", "id", string(c.Request.Header.Peek(e.Dialect.Attempt)), "kind", refusal.Kind,
+		e.Log.Info("request refused", "id", string(c.Request.Header.Peek(e.Dialect.Attempt)), "kind", refusal.Kind.String(),
 			"revision", uint64(e.Table.Revision()))
 		return
 	}
@@ -40,9 +42,19 @@
 		"limit_ms", int64(r.deadline - r.began),
 	}
 	if refusal == nil {
-		e.Log.Debug("request answered", append(args, "status", c.Response.StatusCode())...)
+		level := hclog.Debug
+		if c.Response.StatusCode() >= fasthttp.StatusInternalServerError || e.isSampled(r.out.GetAttempt()) {
+			level = hclog.Info
+		}
+		e.Log.Log(level, "request answered", append(args, "status", c.Response.StatusCode())...)
 		return
 	}
-	e.Log.Info("request refused", append(args, "kind", refusal.Kind, "outcome", refusal.Outcome,
+	e.Log.Info("request refused", append(args, "kind", refusal.Kind.String(), "outcome", refusal.Outcome.String(),
 		"retry_after_ms", int64(refusal.RetryAfter), "status", e.statusOf(refusal))...)
 }
+
+// isSampled reports whether the plain success of a request is logged. All
+// daemons keep the same ids.
+func (e *Entry) isSampled(id string) bool {
+	return e.LogSample > 0 && xxhash.Sum64String(id)%uint64(e.LogSample) == 0
+}
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -103,7 +103,9 @@
 	began := time.Now()
 	err := g.attempt(ctx, t, out, in, !req.GetOneTime())
 	latency := ident.Micros(time.Since(began).Microseconds())
-	t.judgeEnd(g.endOf(t, err, in.StatusCode(), latency), ident.Priority(req.GetPriority()))
+	sample := g.endOf(t, err, in.StatusCode(), latency)
+	before, after := t.judgeEnd(sample, ident.Priority(req.GetPriority()))
+	g.logEnd(t, req, sample, in.StatusCode(), err, before, after)
 	if err != nil {
 		return nil, explain(err, t.spec.ID), !errors.Is(err, errDial)
 	}
@@ -194,6 +196,24 @@
 	return a
 }
 
+// logEnd writes what a request showed about its target, if it failed or changed
+// the belief.
+func (g *Guard) logEnd(t *target, req *wire.ForwardRequest, s health.Sample, status int, err error, before, after float64) {
+	if g.cfg.RefuseAt <= 0 {
+		return
+	}
+	switch {
+	case before < g.cfg.RefuseAt && after >= g.cfg.RefuseAt:
+		g.log.Info("target suspect", "target", t.spec.ID, "suspicion", after, "before", before, "last_id", req.GetAttempt())
+	case before >= g.cfg.RefuseAt && after < g.cfg.RefuseAt:
+		g.log.Info("target trusted", "target", t.spec.ID, "suspicion", after, "before", before, "last_id", req.GetAttempt())
+	}
+	if err != nil || status >= fasthttp.StatusInternalServerError {
+		g.log.Info("target failed a request", "id", req.GetAttempt(), "target", t.spec.ID, "status", status, "error", err,
+			"took_us", int64(s.Latency), "counts_as", s.Result.String(), "suspicion", after, "before", before)
+	}
+}
+
 // endOf is what the end of a request says about its target.
 func (g *Guard) endOf(t *target, err error, status int, took ident.Micros) health.Sample {
 	s := health.Sample{At: g.clk.Now(), Result: resultOf(err, status), Latency: took}
--- a/guard/target.go
+++ b/guard/target.go
@@ -152,12 +152,15 @@
 	return fault.NotRun(k, "target %s is busy and its queue is full: repeat after the given time", id).After(clock.Second)
 }
 
-// judgeEnd takes in what the end of a request says about the target.
-func (t *target) judgeEnd(s health.Sample, p ident.Priority) {
+// judgeEnd takes in what the end of a request says about the target. It returns
+// the suspicion before and after.
+func (t *target) judgeEnd(s health.Sample, p ident.Priority) (before, after float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.keeper.Observe(s)
+	before = t.belief.At(s.At)
 	t.belief.Observe(s)
+	after = t.belief.At(s.At)
 	if s.Result == health.ResultOK {
 		t.took += (float64(s.Latency) - t.took) / usualPart
 		need := &t.need[min(max(p, 0), ident.PriorityUrgent)]
@@ -169,6 +172,7 @@
 		weight := float64(s.Latency) / (float64(s.Latency) + *need)
 		*need += (float64(s.Latency) - *need) * weight * 2 / usualPart
 	}
+	return before, after
 }
 
 // needs is the time that a request of a priority needs for most of its kind.
--- /dev/null
+++ b/logs/main_test.go
@@ -0,0 +1,20 @@
+package logs
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed and the length of the random tests, so that every
+// run gives the same verdict. Flags on the command line win.
+func TestMain(m *testing.M) {
+	fixed := map[string]string{"rapid.seed": "20261204", "rapid.checks": "400", "rapid.steps": "60", "rapid.nofailfile": "true"}
+	for name, value := range fixed {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/logs/writer_test.go
@@ -0,0 +1,98 @@
+package logs
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"chestnutlatch/clock"
+)
+
+// blockedPipe never takes a byte.
+type blockedPipe struct{ forever chan struct{} }
+
+func (p blockedPipe) Write([]byte) (int, error) {
+	<-p.forever
+	return 0, nil
+}
+
+func TestBlockedReaderHoldsNobody(t *testing.T) {
+	w := New(blockedPipe{make(chan struct{})}, Limits{LinesPerSecond: 1 << 20, BytesPerSecond: 1 << 30}, clock.NewManual(1))
+	const lines = 5000
+	for i := range lines {
+		if n, err := fmt.Fprintf(w, "line %d\n", i); err != nil || n == 0 {
+			t.Fatalf("line %d: %d, %v", i, n, err)
+		}
+	}
+	if w.Dropped() < lines-queueLines-1 {
+		t.Errorf("%d lines are dropped, want all that do not fit", w.Dropped())
+	}
+}
+
+// sink collects what is written.
+type sink struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+	got chan struct{}
+}
+
+func (s *sink) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer func() { s.got <- struct{}{} }()
+	return s.buf.Write(b)
+}
+
+func TestDroppedLinesAreTold(t *testing.T) {
+	clk := clock.NewManual(1)
+	out := &sink{got: make(chan struct{}, 100)}
+	w := New(out, Limits{LinesPerSecond: 1, BytesPerSecond: 1000}, clk)
+	for range 10 {
+		_, _ = w.Write([]byte(`{"@level":"info"}` + "\n"))
+	}
+	clk.Advance(reportEvery)
+	_, _ = w.Write([]byte(`{"@level":"error"}` + "\n"))
+	written := 10 - int(w.Dropped()) + 2
+	for range written {
+		<-out.got
+	}
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	if text := out.buf.String(); strings.Count(text, "log lines dropped") != 1 || !strings.Contains(text, `"@level":"error"`) {
+		t.Errorf("wrote:\n%s", text)
+	}
+}
+
+// TestBudgetBoundsEverySecond draws lines of any size and counts what passes.
+func TestBudgetBoundsEverySecond(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := Limits{LinesPerSecond: rapid.IntRange(1, 50).Draw(rt, "lines"), BytesPerSecond: rapid.IntRange(100, 5000).Draw(rt, "bytes")}
+		b := NewBudget(l, 0)
+		lines, bytes := 0, 0
+		now := clock.Millis(0)
+		for range 200 {
+			now += clock.Millis(rapid.IntRange(0, 30).Draw(rt, "pass"))
+			size := rapid.IntRange(1, 400).Draw(rt, "size")
+			if b.Allow(now, size, rapid.Bool().Draw(rt, "urgent")) {
+				lines++
+				bytes += size
+			}
+		}
+		seconds := float64(now)/1000 + 2
+		if float64(lines) > seconds*float64(l.LinesPerSecond) || float64(bytes) > seconds*float64(l.BytesPerSecond) {
+			rt.Fatalf("%d lines and %d bytes in %d ms", lines, bytes, now)
+		}
+	})
+}
+
+func BenchmarkWrite(b *testing.B) {
+	w := New(&bytes.Buffer{}, Limits{LinesPerSecond: 200, BytesPerSecond: 100_000}, clock.NewSystem())
+	line := []byte(`{"@level":"info","@message":"request refused","id":"58e92d0cfa0c0474"}` + "\n")
+	for b.Loop() {
+		_, _ = w.Write(line)
+	}
+}
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -68,6 +68,12 @@
 	FleetSecret string
 	LogLevel    hclog.Level
 	LogJSON     bool
+	// LogLines and LogBytes bound the log, each second.
+	LogLines int
+	LogBytes int
+	// LogSample logs one in so many answered requests, chosen by id so that
+	// all daemons keep the same ones; 0 logs none.
+	LogSample int
 
 	// Adapter names the platform's interface; empty is the product's own.
 	Adapter string
@@ -188,6 +194,9 @@
 		r.problem("daemon", "log_level", level, "use trace, debug, info, warn or error")
 	}
 	s.LogJSON = r.flag("daemon", "log_json", true)
+	s.LogLines = r.number("daemon", "log_lines_per_s", 200, 1, 1_000_000)
+	s.LogBytes = r.number("daemon", "log_bytes_per_s", 100_000, 1000, 1<<30)
+	s.LogSample = r.number("daemon", "log_sample", 64, 0, 1<<30)
 	s.StopTimeout = clock.Millis(r.number("daemon", "stop_timeout_ms", 15_000, 1000, 600_000))
 	s.MemoryLimitMB = r.number("daemon", "memory_limit_mb", 256, 16, 65_536)
 	s.StoreAddress = r.address("store", "address")
