--- a/admin/serve/serve.go
+++ b/admin/serve/serve.go
@@ -60,6 +60,7 @@
 	debug.SetMemoryLimit(int64(cfg.MemoryLimitMB) << 20)
 	clk := clock.NewSystem()
 	out := logs.New(opts.Factory.Streams.Out, logs.Limits{LinesPerSecond: cfg.LogLines, BytesPerSecond: cfg.LogBytes}, clk)
+	defer out.Close()
 	log := hclog.New(&hclog.LoggerOptions{
 		Name: "chestnutlatch", Level: cfg.LogLevel, JSONFormat: cfg.LogJSON, Output: out,
 	}).With("instance", cfg.Instance)
--- a/logs/writer.go
+++ b/logs/writer.go
@@ -7,7 +7,9 @@
 	"bytes"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"chestnutlatch/clock"
 )
@@ -73,12 +75,34 @@
 	// told is the number of dropped lines told so far, reported is when.
 	told     uint64
 	reported clock.Millis
+	// written is closed when the last line has been handed over.
+	written chan struct{}
+
+	mu     sync.RWMutex
+	closed bool
+}
+
+// closeWait bounds the wait for a slow reader at the end of the process.
+const closeWait = 200 * time.Millisecond
+
+// Close hands over the lines that wait, for a short while. What is written after
+// it is dropped.
+func (w *Writer) Close() {
+	w.mu.Lock()
+	w.closed = true
+	close(w.lines)
+	w.mu.Unlock()
+	select {
+	case <-w.written:
+	case <-time.After(closeWait):
+	}
 }
 
 // New returns a writer and starts to copy its lines to out.
 func New(out io.Writer, l Limits, clk clock.Clock) *Writer {
-	w := &Writer{clk: clk, budget: NewBudget(l, clk.Now()), lines: make(chan []byte, queueLines)}
+	w := &Writer{clk: clk, budget: NewBudget(l, clk.Now()), lines: make(chan []byte, queueLines), written: make(chan struct{})}
 	go func() {
+		defer close(w.written)
 		for line := range w.lines {
 			// There is nobody left to tell of a log that cannot be written.
 			_, _ = out.Write(line)
@@ -102,6 +126,11 @@
 }
 
 func (w *Writer) offer(line []byte) bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		return false
+	}
 	select {
 	case w.lines <- line:
 		return true
--- a/logs/writer_test.go
+++ b/logs/writer_test.go
@@ -67,6 +67,21 @@
 	}
 }
 
+func TestCloseHandsOverTheLastLines(t *testing.T) {
+	out := &sink{got: make(chan struct{}, 100)}
+	w := New(out, Limits{LinesPerSecond: 100, BytesPerSecond: 10_000}, clock.NewManual(1))
+	for range 10 {
+		_, _ = w.Write([]byte("last\n"))
+	}
+	w.Close()
+	_, _ = w.Write([]byte("after\n"))
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	if got := out.buf.String(); got != strings.Repeat("last\n", 10) {
+		t.Errorf("wrote %q", got)
+	}
+}
+
 // TestBudgetBoundsEverySecond draws lines of any size and counts what passes.
 func TestBudgetBoundsEverySecond(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
