Weigh waits outside the data centre double; introduce once an outage

Cause: requests left for far targets whose load was older news, were refused there and had paid for the way twice; in an outage of the store every daemon sent the whole list of members between regions each second.

--- a/choose/best.go
+++ b/choose/best.go
@@ -44,6 +44,9 @@
 // as waiting: its target slows down before it is full.
 const nearWait = 0.75
 
+// farWait times the cost of a wait is what it costs outside the data centre.
+const farWait = 2
+
 // Best returns the target with the least cost for the request and counts a
 // request under way there; the caller ends it with Done.
 func (p *Picker) Best(now clock.Millis, w Want, costs Costs) (Candidate, bool) {
@@ -124,7 +127,12 @@
 		// is as busy as the near ones.
 		busy = max(busy, near)
 	}
-	cost += min(costs.Wait*max(busy-nearWait, 0), costs.MostWait)
+	wait := costs.Wait * max(busy-nearWait, 0)
+	if p.distance(t) > 0 {
+		// Its load is older news, and a refusal there costs the way twice.
+		wait *= farWait
+	}
+	cost += min(wait, costs.MostWait)
 	if now < t.cold {
 		cost += costs.Cold
 	}
--- a/daemon/docs.go
+++ b/daemon/docs.go
@@ -14,6 +14,7 @@
 	"chestnutlatch/member"
 	"chestnutlatch/store"
 	"chestnutlatch/table"
+	"chestnutlatch/wire"
 )
 
 const (
@@ -41,6 +42,9 @@
 	hints  chan string
 	// aheadOf is the highest revision that a peer told of.
 	aheadOf atomic.Uint64
+	// introduced is the failing since which this daemon introduced itself; used
+	// by the loop that asks only.
+	introduced int64
 	// failing is since when the store does not answer, 0 if it does.
 	failing atomic.Int64
 }
@@ -165,8 +169,15 @@
 	if len(far) == 0 {
 		addresses = s.d.seedAddresses()
 	}
+	ask := s.d.roster.introduce
+	if since := s.failing.Load(); len(far) > 0 && s.introduced == since {
+		// They know each other: the revision is enough.
+		ask = func(address string) (*wire.PingReply, error) { return s.d.roster.ping(address, &wire.PingRequest{}) }
+	} else {
+		s.introduced = since
+	}
 	for _, address := range addresses {
-		reply, err := s.d.roster.introduce(address)
+		reply, err := ask(address)
 		if err != nil {
 			s.d.log.Debug("peer not asked", "address", address, "error", err)
 			continue
