Wait at a full target rather than go to one that probably fails

Cause, from the steps of failed actions: when the good targets were full, the next candidate was one known to fail nine times in ten, and the request went there although a wait of half a second costs far less.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -28,6 +28,10 @@
 	// waitBusy is the part of the slots in use, with those who wait, from which
 	// the best target is waited for.
 	waitBusy = 3
+	// waitCost is what a wait at a full target may cost more, in parts of the
+	// request's value, before a worse target is tried: a late answer is worth
+	// half or less, a probable failure nothing.
+	waitCost = 0.2
 	// fullGuards is the number of full targets after which the request waits:
 	// when several are full, the service is.
 	fullGuards = 3
@@ -98,6 +102,8 @@
 	// they would wait too long.
 	suspects []ident.Target
 	full     []ident.Target
+	// fullCost is the least cost among the full ones.
+	fullCost float64
 	// settled tells that the request waits wherever it is taken.
 	settled bool
 }
@@ -116,9 +122,9 @@
 	t := &r.trail
 	for t.asked < maxGuards && ctx.Err() == nil {
 		c, ok := e.Picker.Best(e.Clock.Now(), want, e.Costs)
-		if (!ok || len(t.full) >= fullGuards) && len(t.full)+len(t.suspects) > 0 && !t.settled {
-			// Nobody takes it at once: the best of those who would is waited
-			// for, and a suspect target is better than none.
+		if !t.settled && t.mustSettle(c, ok) {
+			// Nobody good takes it at once: the best of those who would is
+			// waited for, and a suspect target is better than none.
 			if ok {
 				e.Picker.Done(r.route.Service, c.Target)
 			}
@@ -143,6 +149,15 @@
 	return nil, e.verdict(ctx, r, t.last)
 }
 
+// mustSettle reports whether the request should wait where it is taken, rather
+// than go to the next candidate or to none.
+func (t *trail) mustSettle(next choose.Candidate, found bool) bool {
+	if !found || len(t.full) >= fullGuards {
+		return len(t.full)+len(t.suspects) > 0
+	}
+	return len(t.full) > 0 && next.Cost > t.fullCost+waitCost
+}
+
 func except(list, drop []ident.Target) []ident.Target {
 	out := list[:0:0]
 	for _, id := range list {
@@ -228,6 +243,9 @@
 	case refusal.Kind == fault.Suspect:
 		t.suspects = append(t.suspects, c.Target)
 	case refusal.Kind == fault.QueueFull:
+		if len(t.full) == 0 || c.Cost < t.fullCost {
+			t.fullCost = c.Cost
+		}
 		t.full = append(t.full, c.Target)
 	}
 	return false
--- a/entry/strict_test.go
+++ b/entry/strict_test.go
@@ -9,9 +9,11 @@
 
 	"github.com/valyala/fasthttp"
 
+	"chestnutlatch/choose"
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/guard"
+	"chestnutlatch/ident"
 	"chestnutlatch/record"
 )
 
@@ -127,3 +129,29 @@
 		}
 	}
 }
+
+// TestWaitsRatherThanFails covers a rush beside a failing target: a request
+// whose good targets are full waits for one of them.
+func TestWaitsRatherThanFails(t *testing.T) {
+	tests := []struct {
+		name  string
+		trail trail
+		next  choose.Candidate
+		found bool
+		want  bool
+	}{
+		{"nothing asked yet", trail{}, choose.Candidate{Cost: 0.9}, true, false},
+		{"another one is nearly as good", trail{full: []ident.Target{"a"}, fullCost: 0.3}, choose.Candidate{Cost: 0.4}, true, false},
+		{"the next one probably fails", trail{full: []ident.Target{"a"}, fullCost: 0.3}, choose.Candidate{Cost: 0.9}, true, true},
+		{"several are full", trail{full: []ident.Target{"a", "b", "c"}, fullCost: 0.3}, choose.Candidate{Cost: 0.3}, true, true},
+		{"none is left but suspects", trail{suspects: []ident.Target{"a"}}, choose.Candidate{}, false, true},
+		{"none is left", trail{}, choose.Candidate{}, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := tt.trail.mustSettle(tt.next, tt.found); got != tt.want {
+				t.Errorf("settles is %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
