Ask the life of a daemon that got the action, not the one listed now

Cause: after a lost path the entry asked the guard's life that the roster names at that moment. If the daemon had started again meanwhile, the new life would have promised that the action had not run, and the entry would have sent it elsewhere. Found by reading the lines of an action that ended as unknown; no run has shown a doubled action. Before: TestQuestionNamesTheLifeThatGotTheAction fails. After: it passes.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -207,6 +207,9 @@
 		r.out.SpareMs = 0
 	}
 	r.out.Repeat = t.arrived > 0
+	// A later life of the daemon knows nothing of what is sent now.
+	_, home, _ := e.Fleet.Locate(c.Instance)
+	r.out.HomeIncarnation = uint64(home)
 	r.out.VoidOnly = false
 	reply, err := e.link.call(ctx, c.Instance, c.Address, r.out)
 	if err != nil {
@@ -257,8 +260,6 @@
 	if !r.route.OneTime || c.Instance == e.Instance {
 		return nil, lost
 	}
-	_, inc, _ := e.Fleet.Locate(c.Instance)
-	r.out.HomeIncarnation = uint64(inc)
 	r.out.VoidOnly = true
 	for ctx.Err() == nil {
 		e.Peers.Forget(c.Address)
--- a/entry/strict_test.go
+++ b/entry/strict_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -15,6 +17,7 @@
 	"chestnutlatch/guard"
 	"chestnutlatch/ident"
 	"chestnutlatch/record"
+	"chestnutlatch/wire"
 )
 
 // TestPathAsSentSelectsTheRoute covers paths that servers read in different
@@ -155,3 +158,36 @@
 		})
 	}
 }
+
+// agingFleet names a later life of every daemon once something was sent.
+type agingFleet struct {
+	lone
+
+	link *link
+}
+
+func (f *agingFleet) Locate(ident.Instance) (string, ident.Incarnation, bool) {
+	return "127.0.0.1:1", ident.Incarnation(1 + f.link.sequence.Load()), true
+}
+
+// TestQuestionNamesTheLifeThatGotTheAction covers a daemon that starts again
+// between an action and the question for its answer: the new life must not
+// promise that the action has not run.
+func TestQuestionNamesTheLifeThatGotTheAction(t *testing.T) {
+	s := newSite(t, [2]string{good, good})
+	s.Dialect = guard.Dialect{Attempt: "X-Id", Timeout: "X-Left"}
+	s.Fleet = &agingFleet{link: s.link}
+	r := &request{
+		route: record.Route{ID: "act", Service: "svc", Timeout: 300, OneTime: true}, deadline: s.Clock.Now() + 300,
+		out: &wire.ForwardRequest{Attempt: "a1", OneTime: true},
+	}
+	ctx, done := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer done()
+	final := s.attempt(ctx, r, choose.Candidate{Target: "t", Instance: "other", Address: "127.0.0.1:1"}, &r.trail)
+	if !final || r.trail.last.Outcome != ident.OutcomeUnknown {
+		t.Errorf("final is %v, last word %v", final, r.trail.last)
+	}
+	if r.out.GetHomeIncarnation() != 1 || !r.out.GetVoidOnly() {
+		t.Errorf("life %d is asked, the action went to life 1", r.out.GetHomeIncarnation())
+	}
+}
