--- a/choose/best.go
+++ b/choose/best.go
@@ -5,7 +5,6 @@
 
 	"chestnutlatch/clock"
 	"chestnutlatch/health"
-	"chestnutlatch/ident"
 )
 
 // Costs weigh what speaks against a target, in parts of a request's value.
@@ -26,8 +25,6 @@
 	// bounds it: a late answer is worth less, but more than a failure.
 	Wait     float64
 	MostWait float64
-	// Cold is the cost of a target that has just started.
-	Cold float64
 	// Path is the cost of a path that failed lately.
 	Path float64
 }
@@ -36,7 +33,7 @@
 func DefaultCosts() Costs {
 	return Costs{
 		Region: 0.05, Far: 0.1, RegionByte: 0.05 / 1000, FarByte: 0.08 / 1000,
-		FailOnce: 1, FailSafe: 0.9, Wait: 0.2, MostWait: 0.6, Cold: 0.2, Path: 2,
+		FailOnce: 1, FailSafe: 0.9, Wait: 0.2, MostWait: 0.6, Path: 2,
 	}
 }
 
@@ -133,9 +130,6 @@
 		wait *= farWait
 	}
 	cost += min(wait, costs.MostWait)
-	if now < t.cold {
-		cost += costs.Cold
-	}
 	if p.IsPathBad(now, t.Instance) {
 		cost += costs.Path
 	}
@@ -155,16 +149,3 @@
 func (t *target) busyWith(now clock.Millis, more int) float64 {
 	return t.busy(now) + float64(more)/float64(max(t.Slots, 1))
 }
-
-// Cold marks a target that stays slow until a time.
-func (p *Picker) Cold(id ident.Service, t ident.Target, until clock.Millis) {
-	s := p.service(id, false)
-	if s == nil {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if old := s.targets[t]; old != nil {
-		old.cold = until
-	}
-}
--- a/choose/picker.go
+++ b/choose/picker.go
@@ -55,8 +55,6 @@
 	reported clock.Millis
 	// mine counts this daemon's own requests under way.
 	mine int
-	// cold is when the target's slow start ends.
-	cold clock.Millis
 }
 
 type service struct {
--- a/config/document.go
+++ b/config/document.go
@@ -1,21 +1,15 @@
 package config
 
 import (
-	"chestnutlatch/clock"
 	"chestnutlatch/ident"
 	"chestnutlatch/record"
 )
 
-// Limits bound what a caller may send. A zero value leaves the setting in
-// force.
+// Limits bound what a caller may send.
 type Limits struct {
-	// HeaderBytes and BodyBytes are the largest head and body of a request.
-	HeaderBytes int
-	BodyBytes   int
-	// HeaderTime bounds the reading of a head, in milliseconds.
-	HeaderTime clock.Millis
-	// IdleTime is how long a connection may rest, in milliseconds.
-	IdleTime clock.Millis
+	// BodyBytes is the largest body of a request; 0 leaves the setting in
+	// force.
+	BodyBytes int
 }
 
 // Document is a whole configuration that the platform's operators keep as one
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	mrand "math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,7 +44,7 @@
 	// too large, so that its sender gets an answer and not a reset.
 	hardBodyFactor = 4
 	// maxHead is the largest head of a request, in bytes.
-	maxHead = 16 << 10
+	maxHead = 64 << 10
 	// beatsMissed is the number of heartbeats after which a target is silent;
 	// they may come seconds late.
 	beatsMissed = 6
@@ -242,6 +241,7 @@
 func (d *Daemon) newCallers() *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:               d.handle,
+		HeaderReceived:        d.limitsOf,
 		ErrorHandler:          d.entry.OnError,
 		Name:                  "chestnutlatch",
 		NoDefaultServerHeader: true,
@@ -257,6 +257,19 @@
 	}
 }
 
+// limitsOf returns the bounds of a request whose head was read. A zero field
+// leaves the server's own in force.
+func (d *Daemon) limitsOf(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if d.docs == nil {
+		return fasthttp.RequestConfig{}
+	}
+	most := hardBodyFactor * d.cfg.MaxRequestBytes
+	if body := d.docs.limits.Load().BodyBytes; body > 0 {
+		most = min(most, body)
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: most}
+}
+
 // handle serves a caller. During a planned stop it tells callers to connect
 // anew.
 func (d *Daemon) handle(c *fasthttp.RequestCtx) {
@@ -311,46 +324,6 @@
 	}
 }
 
-// serverCount is the number of servers that may fail.
-const serverCount = 5
-
-type listeners struct {
-	ready    net.Listener
-	announce net.Listener
-
-	callers  net.Listener
-	inner    net.Listener
-	operator net.Listener
-	members  net.PacketConn
-}
-
-func (d *Daemon) listen() (*listeners, error) {
-	var l listeners
-	var err error
-	if l.callers, err = net.Listen("tcp", d.cfg.CallerAddress); err != nil {
-		return nil, errors.Wrap(err, "caller_address: free the port or choose another")
-	}
-	if l.inner, err = net.Listen("tcp", d.cfg.InnerAddress); err != nil {
-		return nil, errors.Wrap(err, "inner_address: free the port or choose another")
-	}
-	if l.operator, err = net.Listen("tcp", d.cfg.OperatorAddress); err != nil {
-		return nil, errors.Wrap(err, "operator_address: free the port or choose another")
-	}
-	if l.members, err = net.ListenPacket("udp", d.cfg.MemberAddress); err != nil {
-		return nil, errors.Wrap(err, "member_address: free the port or choose another")
-	}
-	if d.platform == nil {
-		return &l, nil
-	}
-	if l.ready, err = net.Listen("tcp", d.cfg.ReadyAddress); err != nil {
-		return nil, errors.Wrap(err, "ready_address: free the port or choose another")
-	}
-	if l.announce, err = net.Listen("tcp", d.cfg.AnnounceAddress); err != nil {
-		return nil, errors.Wrap(err, "announce_address: free the port or choose another")
-	}
-	return &l, nil
-}
-
 // start runs the servers and the loops; the channel tells of a server that
 // failed.
 func (d *Daemon) start(ctx context.Context, l *listeners) <-chan error {
@@ -419,89 +392,3 @@
 		}
 	}
 }
-
-// leave is the planned stop.
-func (d *Daemon) leave() {
-	began := time.Now()
-	d.log.Info("daemon is stopping", "timeout_ms", int64(d.cfg.StopTimeout))
-	ctx, cancel := context.WithTimeout(context.Background(), (d.cfg.StopTimeout - stopMargin).Duration())
-	defer cancel()
-	d.stopping.Store(true)
-	if d.platform != nil {
-		// The target beside works on, and nobody else can reach it.
-		pause(ctx, lastWork)
-	}
-	d.guard.Drain()
-	d.fleet.setTargets(d.guard.Infos())
-	if d.platform == nil {
-		d.slots.release(ctx)
-	}
-	d.settle(ctx)
-	d.fleet.leave()
-	cut := time.AfterFunc(time.Until(began.Add((d.cfg.StopTimeout - stopCut).Duration())), d.entry.Cut)
-	defer cut.Stop()
-	if err := d.callers.ShutdownWithContext(ctx); err != nil {
-		d.log.Warn("callers were cut off", "error", err)
-	}
-	for !d.guard.IsIdle() && ctx.Err() == nil {
-		time.Sleep(leaveStep)
-	}
-	d.stopInner(ctx)
-	d.log.Info("daemon stopped")
-}
-
-const (
-	leaveStep = 20 * time.Millisecond
-	// stopCut is how long before the supervisor kills the process the callers
-	// that still wait are answered.
-	stopCut = clock.Second
-	// stopMargin is the part of stop_timeout_ms that is left for the process
-	// to end before its supervisor kills it.
-	stopMargin = 600 * clock.Millisecond
-	// settleTime lets peers learn that the targets take no new work before
-	// the callers' port closes.
-	settleTime = 700 * time.Millisecond
-	// lastWork is how long the guard of a stopping daemon takes work: a quarter
-	// of the usual time to stop, so that what it took can end.
-	lastWork = 1500 * time.Millisecond
-	// missedQuestions is the time in which the platform misses a stopping
-	// daemon's readiness twice and sends no more callers.
-	missedQuestions = 2500 * time.Millisecond
-)
-
-// settleSpan is longer where callers learn of the stop by two missed questions,
-// a second apart; it began with the stop.
-func (d *Daemon) settleSpan() time.Duration {
-	if d.platform != nil {
-		return missedQuestions - lastWork
-	}
-	return settleTime
-}
-
-func (d *Daemon) settle(ctx context.Context) {
-	pause(ctx, d.settleSpan())
-}
-
-// pause waits for a span or until ctx ends.
-func pause(ctx context.Context, span time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(span):
-	}
-}
-
-// stopInner ends the inner server when its calls are done or time is over.
-func (d *Daemon) stopInner(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		d.inner.GracefulStop()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		d.inner.Stop()
-	}
-	d.peers.Close()
-	_ = d.operator.Shutdown()
-}
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -14,7 +14,6 @@
 	"chestnutlatch/limit"
 	"chestnutlatch/member"
 	"chestnutlatch/roster"
-	"chestnutlatch/setup"
 	"chestnutlatch/store"
 	"chestnutlatch/wire"
 )
@@ -135,29 +134,6 @@
 	return true
 }
 
-const (
-	// retryPart is the part of the fleet's retry budget for each request that
-	// is used; the rest covers what daemons spend before they hear of each
-	// other.
-	retryPart = 0.9
-	// retrySlackPart is the same for the budget's slack.
-	retrySlackPart = 0.9
-	// retrySaved is the part of the slack that may be saved up; the
-	// rest comes with time.
-	retrySaved = 0.5
-)
-
-// retriesOf is one data centre's part of the fleet's retry budget. Its daemons
-// tell each other what they use.
-func retriesOf(r setup.Retries, parts int) choose.Retries {
-	slack := r.Slack * retrySlackPart / float64(max(parts, 1))
-	return choose.Retries{
-		Part:      r.Part * retryPart,
-		PerSecond: slack * (1 - retrySaved) / float64(r.Window) * float64(clock.Second),
-		Most:      max(slack*retrySaved, 1),
-	}
-}
-
 // apply brings the picker up to a change and asks the missing.
 func (f *rosterFleet) apply(c roster.Change) {
 	for i := range c.Updated {
@@ -264,110 +240,6 @@
 	return f.self
 }
 
-// keep holds the own key in the store.
-func (f *rosterFleet) keep(ctx context.Context) {
-	tick := time.NewTicker(keepTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f.keepOnce(ctx, f.d.clk.Now())
-		}
-	}
-}
-
-func (f *rosterFleet) keepOnce(ctx context.Context, now clock.Millis) {
-	f.keyMu.Lock()
-	defer f.keyMu.Unlock()
-	k := &f.key
-	if f.left || k.tried > 0 && now-k.tried < storeRetry {
-		return
-	}
-	f.mu.Lock()
-	dirty := f.dirty
-	hasTarget := len(f.self.Targets) > 0
-	f.mu.Unlock()
-	if !hasTarget && k.revision == 0 && now < firstKey {
-		return
-	}
-	var err error
-	switch {
-	case k.lease == 0 || k.revision == 0 || dirty:
-		err = f.write(ctx, now)
-	case now-k.renewed >= renewEvery:
-		err = f.renew(ctx, now)
-	default:
-		f.d.digest.tell(ctx, now, k.lease)
-		return
-	}
-	f.d.storeWord("keep own key", err)
-	k.tried = 0
-	if err != nil {
-		k.tried = now
-	}
-}
-
-func (f *rosterFleet) renew(ctx context.Context, now clock.Millis) error {
-	ctx, done := context.WithTimeout(ctx, storeTimeout)
-	defer done()
-	err := f.d.store.Renew(ctx, f.key.lease)
-	if isLeaseLost(err) {
-		f.d.log.Info("lease of the own key lost", "lease", uint64(f.key.lease))
-		f.key.lease, f.key.revision = 0, 0
-		return f.write(ctx, now)
-	}
-	if err == nil {
-		f.key.renewed = now
-	}
-	return err
-}
-
-// write writes the own key. A write whose answer was lost shows as a conflict
-// with the own value and is made again over it.
-func (f *rosterFleet) write(ctx context.Context, now clock.Millis) error {
-	ctx, done := context.WithTimeout(ctx, storeTimeout)
-	defer done()
-	k := &f.key
-	if k.lease == 0 {
-		lease, err := f.d.store.Grant(ctx, uint32(leaseTime))
-		if err != nil {
-			return err
-		}
-		k.lease, k.renewed = lease, now
-	}
-	f.mu.Lock()
-	f.self.Version++
-	f.dirty = false
-	value, err := member.EncodeMember(&f.self)
-	f.mu.Unlock()
-	if err != nil {
-		return err
-	}
-	rev, err := f.swap(ctx, value)
-	if isLeaseLost(err) {
-		k.lease, k.revision = 0, 0
-	}
-	if err != nil {
-		f.mu.Lock()
-		f.dirty = true
-		f.mu.Unlock()
-		return err
-	}
-	k.revision = rev
-	return nil
-}
-
-func (f *rosterFleet) swap(ctx context.Context, value []byte) (store.Revision, error) {
-	key := RosterPrefix + string(f.d.instance)
-	rev, err := f.d.store.Swap(ctx, key, f.key.revision, value, f.key.lease)
-	if current, ok := conflict(err); ok {
-		return f.d.store.Swap(ctx, key, current, value, f.key.lease)
-	}
-	return rev, err
-}
-
 // setTargets implements fleet.
 func (f *rosterFleet) setTargets(targets []member.Target) {
 	f.mu.Lock()
--- a/entry/http.go
+++ b/entry/http.go
@@ -104,7 +104,6 @@
 		Priority: uint32(r.route.Priority),
 		Weight:   r.team.Weight,
 		Method:   string(c.Method()),
-		Rank:     r.team.Rank,
 		Uri:      string(c.Request.Header.RequestURI()),
 		Body:     append([]byte(nil), c.PostBody()...),
 	}
--- a/guard/beat.go
+++ b/guard/beat.go
@@ -15,8 +15,6 @@
 	Sequence uint64
 	// Draining tells that the target wants no new work.
 	Draining bool
-	// Cold is how much longer the target stays slow after its start.
-	Cold clock.Millis
 }
 
 // keepGone is how long a target that left is remembered, in milliseconds. A
@@ -52,7 +50,6 @@
 	}
 	t.mu.Lock()
 	t.born, t.sequence, t.heard = b.Born, b.Sequence, max(now, 1)
-	t.coldUntil = now + b.Cold
 	drain := b.Draining || g.draining
 	g.leaving = b.Draining
 	if t.draining != drain {
--- a/guard/target.go
+++ b/guard/target.go
@@ -49,8 +49,6 @@
 	// born and sequence are those of the last heartbeat.
 	born     clock.Millis
 	sequence uint64
-	// coldUntil is when the target's slow start ends.
-	coldUntil clock.Millis
 	// heard is when the target last announced itself; 0 for a target from
 	// the settings.
 	heard clock.Millis
--- a/health/belief.go
+++ b/health/belief.go
@@ -39,20 +39,6 @@
 	return m.Prior() + (p-m.Prior())*math.Exp(-rate*float64(span))
 }
 
-// Until returns the span after which a belief without new evidence falls to a
-// threshold, or 0 if it lies below. A threshold at or under the prior is never
-// reached and counts as the mean length of a spell.
-func (m Model) Until(p, threshold float64) clock.Millis {
-	if p <= threshold {
-		return 0
-	}
-	if threshold <= m.Prior() {
-		return m.Spell
-	}
-	rate := 1/float64(m.Spell) + 1/float64(m.Onset)
-	return clock.Millis(math.Log((p-m.Prior())/(threshold-m.Prior()))/rate) + 1
-}
-
 // Belief is the probability that a target is in a spell, kept by two
 // hypotheses: at one request a second a window holds too few samples, while a
 // single failure is strong evidence when ordinary errors are rare.
--- a/health/belief_test.go
+++ b/health/belief_test.go
@@ -40,19 +40,6 @@
 	})
 }
 
-func TestBeliefUntil(t *testing.T) {
-	m := DefaultModel()
-	for _, p := range []float64{0.3, 0.6, 0.9, 1} {
-		wait := m.Until(p, 0.4)
-		if after := m.Decay(p, wait); after > 0.4 && p > 0.4 {
-			t.Errorf("belief %.2f is still %.3f after %d ms", p, after, wait)
-		}
-		if p <= 0.4 && wait != 0 {
-			t.Errorf("belief %.2f waits %d ms", p, wait)
-		}
-	}
-}
-
 // spellTarget fails in spells of several seconds with 85 in 100 and else with
 // 1.2 in 100, as a third of a thin service does at any time.
 type spellTarget struct {
