--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -43,7 +43,8 @@
 	// hardBodyFactor times max_request_bytes is what is read of a body that is
 	// too large, so that its sender gets an answer and not a reset.
 	hardBodyFactor = 4
-	// maxHead is the largest head of a request, in bytes.
+	// maxHead is the largest head of a request on a platform, in bytes; the
+	// product's own interface has the HTTP library's 4 KiB.
 	maxHead = 64 << 10
 	// beatsMissed is the number of heartbeats after which a target is silent;
 	// they may come seconds late.
@@ -239,6 +240,10 @@
 }
 
 func (d *Daemon) newCallers() *fasthttp.Server {
+	head := 0
+	if d.platform != nil {
+		head = maxHead
+	}
 	return &fasthttp.Server{
 		Handler:               d.handle,
 		HeaderReceived:        d.limitsOf,
@@ -247,7 +252,7 @@
 		NoDefaultServerHeader: true,
 		NoDefaultContentType:  d.platform != nil,
 		NoDefaultDate:         d.platform != nil,
-		ReadBufferSize:        maxHead,
+		ReadBufferSize:        head,
 		MaxRequestBodySize:    hardBodyFactor * d.cfg.MaxRequestBytes,
 		ReadTimeout:           d.cfg.ReadTimeout.Duration(),
 		IdleTimeout:           time.Minute,
