Idempotent requests look at the targets least is known of

A target of which nothing is known is taken to fail one time in four, so that actions avoid it, and idempotent requests were spread at random.

--- a/choose/best.go
+++ b/choose/best.go
@@ -25,6 +25,9 @@
 	// bounds it: a late answer is worth less, but more than a failure.
 	Wait     float64
 	MostWait float64
+	// Look is what a request is worth that shows how a target fares of which
+	// nothing is known.
+	Look float64
 	// Path is the cost of a path that failed lately.
 	Path float64
 }
@@ -33,7 +36,7 @@
 func DefaultCosts() Costs {
 	return Costs{
 		Region: 0.05, Far: 0.1, RegionByte: 0.05 / 1000, FarByte: 0.08 / 1000,
-		FailOnce: 1, FailSafe: 0.9, Wait: 0.2, MostWait: 0.6, Path: 2,
+		FailOnce: 1, FailSafe: 0.9, Wait: 0.2, MostWait: 0.6, Look: 0.12, Path: 2,
 	}
 }
 
@@ -110,7 +113,11 @@
 	if !w.OneTime {
 		// Nothing known against a target costs nothing: idempotent requests go
 		// to all and so tell how each one fares, new ones too.
-		cost = costs.FailSafe * max(t.suspicionAt(now)-health.DefaultModel().Prior(), 0)
+		prior := health.DefaultModel().Prior()
+		cost = costs.FailSafe * max(t.suspicionAt(now)-prior, 0)
+		// The less is known of a target, the more another look is worth: one
+		// that nobody uses would else stay unknown and get no action either.
+		cost -= costs.Look * min(t.suspicionAt(now)/prior, 1)
 	}
 	switch p.distance(t) {
 	case 1:
--- a/choose/best_test.go
+++ b/choose/best_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"chestnutlatch/clock"
+	"chestnutlatch/health"
 	"chestnutlatch/ident"
 	"chestnutlatch/record"
 )
@@ -79,6 +80,34 @@
 	}
 }
 
+// TestNoTargetStaysUnknown covers a thin service of many near targets: the
+// requests that may be repeated reach every one of them within two seconds.
+func TestNoTargetStaysUnknown(t *testing.T) {
+	const targets, gap = 8, 150
+	p := New("dc", "r", 1)
+	beliefs := map[ident.Target]*health.Belief{}
+	last := map[ident.Target]clock.Millis{}
+	for i := range targets {
+		id := fmt.Sprint("t", i)
+		put(p, id, 0)
+		beliefs[ident.Target(id)] = health.NewBelief(health.DefaultModel(), 0)
+	}
+	for now := clock.Millis(gap); now < 60_000; now += gap {
+		for id, b := range beliefs {
+			p.Report(now, testService, id, Load{Suspicion: b.At(now)})
+		}
+		c, _ := p.Best(now, Want{Service: testService}, DefaultCosts())
+		p.Done(testService, c.Target)
+		beliefs[c.Target].Observe(health.Sample{At: now, Result: health.ResultOK})
+		last[c.Target] = now
+		for id := range beliefs {
+			if idle := now - last[id]; now > 5000 && idle > 2000 {
+				t.Fatalf("%s got nothing for %d ms", id, idle)
+			}
+		}
+	}
+}
+
 // TestUnknownTargetsCountAsBusy covers a rush: nothing is known of the far
 // target, and it is not taken for idle.
 func TestUnknownTargetsCountAsBusy(t *testing.T) {
