Write a request's steps only when its line is; one check for the daemon's own headers

From a reading of the whole change: every choice and every guard's word was formatted for the log, also for the plain successes that are not logged; the entry had a second list of the headers that the daemon sets itself; three packages had the same constant; the choice worked out a belief three times for each target. No behaviour changes.

--- a/choose/best.go
+++ b/choose/best.go
@@ -1,8 +1,6 @@
 package choose
 
 import (
-	"fmt"
-
 	"chestnutlatch/clock"
 	"chestnutlatch/health"
 )
@@ -74,7 +72,8 @@
 	c.Cost = least
 	c.Suspicion = best.suspicionAt(now)
 	c.Busy = best.busy(now)
-	c.Why = fmt.Sprintf("far %d suspicion %.2f busy %.2f age %d", p.distance(best), best.suspicionAt(now), best.busy(now), best.age(now))
+	c.Distance = p.distance(best)
+	c.Age = best.age(now)
 	return c, true
 }
 
@@ -109,17 +108,18 @@
 const tieBreak = 0.02
 
 func (p *Picker) costOf(now clock.Millis, t *target, w Want, costs Costs, near float64) float64 {
-	cost := costs.FailOnce * t.suspicionAt(now)
+	suspicion, distance := t.suspicionAt(now), p.distance(t)
+	cost := costs.FailOnce * suspicion
 	if !w.OneTime {
 		// Nothing known against a target costs nothing: idempotent requests go
 		// to all and so tell how each one fares, new ones too.
 		prior := health.DefaultModel().Prior()
-		cost = costs.FailSafe * max(t.suspicionAt(now)-prior, 0)
+		cost = costs.FailSafe * max(suspicion-prior, 0)
 		// The less is known of a target, the more another look is worth: one
 		// that nobody uses would else stay unknown and get no action either.
-		cost -= costs.Look * min(t.suspicionAt(now)/prior, 1)
+		cost -= costs.Look * min(suspicion/prior, 1)
 	}
-	switch p.distance(t) {
+	switch distance {
 	case 1:
 		cost += costs.Region + costs.RegionByte*w.Bytes
 	case 2:
@@ -132,7 +132,7 @@
 		busy = max(busy, near)
 	}
 	wait := costs.Wait * max(busy-nearWait, 0)
-	if p.distance(t) > 0 {
+	if distance > 0 {
 		// Its load is older news, and a refusal there costs the way twice.
 		wait *= farWait
 	}
--- a/choose/best_test.go
+++ b/choose/best_test.go
@@ -53,7 +53,7 @@
 			p.Report(now, testService, "far", tt.far)
 			tt.want.Service = testService
 			if c, ok := p.Best(now, tt.want, DefaultCosts()); !ok || c.Target != tt.pick {
-				t.Errorf("picked %s (%s), want %s", c.Target, c.Why, tt.pick)
+				t.Errorf("picked %s at a cost of %.2f, want %s", c.Target, c.Cost, tt.pick)
 			}
 		})
 	}
--- a/choose/picker.go
+++ b/choose/picker.go
@@ -32,12 +32,15 @@
 	Slots int
 	// Up tells whether the member is not dead or left.
 	Up bool
-	// Suspicion, Busy, Cost and Why are set by Best: what spoke against the
-	// target. Busy is the part of the slots in use, with those who wait.
+	// The rest is set by Best: what spoke against the target. Busy is the part
+	// of the slots in use, with those who wait; Distance is 0 in the own data
+	// centre, 1 in the region, 2 beyond; Age is how old the guard's word was,
+	// in milliseconds, -1 for none.
 	Suspicion float64
 	Busy      float64
 	Cost      float64
-	Why       string
+	Distance  int
+	Age       clock.Millis
 }
 
 // Load is a guard's report on a target.
--- a/daemon/digest.go
+++ b/daemon/digest.go
@@ -61,7 +61,7 @@
 		msg.Loads = append(msg.Loads, &wire.LoadReport{
 			Service: string(r.Service), Target: string(r.Target), State: uint32(r.Load.State),
 			InFlight: uint32(r.Load.InFlight), Queued: uint32(r.Load.Queued),
-			Suspicion: uint32(r.Load.Suspicion * permill), AgeMs: uint32(r.Age),
+			Suspicion: uint32(r.Load.Suspicion * ident.Permill), AgeMs: uint32(r.Age),
 		})
 		news.WriteString(r.News(digestBusy))
 	}
@@ -87,9 +87,6 @@
 	}
 }
 
-// permill turns a share into thousandths.
-const permill = 1000
-
 // take takes in another data centre's digest.
 func (g *digest) take(now clock.Millis, e store.Entry) {
 	dc := strings.TrimPrefix(e.Key, DigestPrefix)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -97,7 +97,7 @@
 	reply *wire.ForwardReply
 	last  *fault.Refusal
 	// steps tell what each guard said, for the log.
-	steps []string
+	steps []step
 	// suspects were refused since their targets probably fail, full since
 	// they would wait too long.
 	suspects []ident.Target
@@ -216,7 +216,7 @@
 		e.Log.Debug("guard not reached", "id", r.out.GetAttempt(), "target", c.Target, "at", c.Instance, "error", err)
 		reply, err = e.recover(ctx, r, c, err)
 	}
-	t.note(c, reply, err, e.Clock.Now()-now)
+	t.steps = append(t.steps, step{c, reply, err, e.Clock.Now() - now})
 	if err != nil {
 		r.unknown = true
 		t.arrived++
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -91,9 +91,6 @@
 	return nil, refusal
 }
 
-// permill turns thousandths into a share.
-const permill = 1000
-
 func (e *Entry) takeReport(s ident.Service, reply *wire.ForwardReply) {
 	if l := reply.GetLoad(); l != nil {
 		e.TakeReport(e.Clock.Now(), s, l)
@@ -107,7 +104,7 @@
 		InFlight: int(l.GetInFlight()),
 		Queued:   int(l.GetQueued()),
 
-		Suspicion: float64(l.GetSuspicion()) / permill,
+		Suspicion: float64(l.GetSuspicion()) / ident.Permill,
 	})
 }
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -110,7 +110,7 @@
 	key := []byte(keyOf(c))
 	for k, v := range c.Request.Header.All() {
 		name := string(k)
-		if dropped[strings.ToLower(name)] || e.isOwn(name) || len(key) > 0 && bytes.Contains(v, key) {
+		if dropped[strings.ToLower(name)] || e.Dialect.Sets(name) || len(key) > 0 && bytes.Contains(v, key) {
 			continue
 		}
 		out.Headers = append(out.Headers, &wire.Header{Name: name, Value: string(v)})
@@ -118,16 +118,6 @@
 	return out
 }
 
-// isOwn reports whether a header is one that the daemon itself sets.
-func (e *Entry) isOwn(name string) bool {
-	for _, own := range []string{e.Dialect.Team, e.Dialect.Timeout, e.Dialect.Origin, e.Dialect.Expect} {
-		if own != "" && strings.EqualFold(own, name) {
-			return true
-		}
-	}
-	return false
-}
-
 // writeAnswer passes a whole answer to the caller.
 func writeAnswer(c *fasthttp.RequestCtx, a *wire.Answer) {
 	c.SetStatusCode(int(a.GetStatus()))
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,17 +16,35 @@
 	"chestnutlatch/wire"
 )
 
-// note keeps what a guard said about a request.
-func (t *trail) note(c choose.Candidate, reply *wire.ForwardReply, err error, took clock.Millis) {
+// step is what one guard said about a request.
+type step struct {
+	c     choose.Candidate
+	reply *wire.ForwardReply
+	err   error
+	took  clock.Millis
+}
+
+// String is the step as operators read it.
+func (s step) String() string {
 	word := "lost"
 	switch {
-	case err != nil:
-	case reply.GetRefusal() != nil:
-		word = guard.FromWire(reply.GetRefusal()).Kind.String()
+	case s.err != nil:
+	case s.reply.GetRefusal() != nil:
+		word = guard.FromWire(s.reply.GetRefusal()).Kind.String()
 	default:
-		word = fmt.Sprint(reply.GetAnswer().GetStatus())
+		word = strconv.Itoa(int(s.reply.GetAnswer().GetStatus()))
+	}
+	return fmt.Sprintf("%s@%s(%.2f,far %d suspicion %.2f busy %.2f age %d)=%s/%dms", s.c.Target, s.c.Instance, s.c.Cost,
+		s.c.Distance, s.c.Suspicion, s.c.Busy, int64(s.c.Age), word, int64(s.took))
+}
+
+// story returns the steps as operators read them.
+func (t *trail) story() []string {
+	out := make([]string, 0, len(t.steps))
+	for _, s := range t.steps {
+		out = append(out, s.String())
 	}
-	t.steps = append(t.steps, fmt.Sprintf("%s@%s(%.2f,%s)=%s/%dms", c.Target, c.Instance, c.Cost, c.Why, word, int64(took)))
+	return out
 }
 
 // logEnd writes the one line that tells how a request ended and why. It never
@@ -36,16 +55,19 @@
 			"revision", uint64(e.Table.Revision()))
 		return
 	}
+	level := hclog.Info
+	if refusal == nil && c.Response.StatusCode() < fasthttp.StatusInternalServerError && !e.isSampled(r.out.GetAttempt()) {
+		level = hclog.Debug
+	}
+	if level == hclog.Debug && !e.Log.IsDebug() {
+		return
+	}
 	args := []any{
 		"id", r.out.GetAttempt(), "route", r.route.ID, "service", r.route.Service, "team", r.team.ID, "one_time", r.route.OneTime,
-		"revision", uint64(e.Table.Revision()), "steps", r.trail.steps, "took_ms", took.Milliseconds(),
+		"revision", uint64(e.Table.Revision()), "steps", r.trail.story(), "took_ms", took.Milliseconds(),
 		"limit_ms", int64(r.deadline - r.began),
 	}
 	if refusal == nil {
-		level := hclog.Debug
-		if c.Response.StatusCode() >= fasthttp.StatusInternalServerError || e.isSampled(r.out.GetAttempt()) {
-			level = hclog.Info
-		}
 		e.Log.Log(level, "request answered", append(args, "status", c.Response.StatusCode())...)
 		return
 	}
--- a/guard/dialect.go
+++ b/guard/dialect.go
@@ -1,5 +1,7 @@
 package guard
 
+import "strings"
+
 // Dialect names the headers that a deployment's callers and targets use. An
 // empty name leaves the header out.
 type Dialect struct {
@@ -25,13 +27,17 @@
 	return Dialect{Timeout: TimeoutHeader, Team: TeamHeader}
 }
 
-// sets returns the headers that the daemon alone may set.
-func (d Dialect) sets() []string {
-	var out []string
-	for _, h := range []string{d.Timeout, d.Team, d.Origin, d.Expect} {
-		if h != "" {
-			out = append(out, h)
+// own returns the headers that the daemon alone may set.
+func (d Dialect) own() [4]string {
+	return [4]string{d.Timeout, d.Team, d.Origin, d.Expect}
+}
+
+// Sets reports whether the daemon alone may set a header.
+func (d Dialect) Sets(name string) bool {
+	for _, h := range d.own() {
+		if h != "" && strings.EqualFold(h, name) {
+			return true
 		}
 	}
-	return out
+	return false
 }
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -172,8 +172,10 @@
 	if len(out.Header.Host()) == 0 {
 		out.Header.SetHost(t.spec.Address)
 	}
-	for _, name := range d.sets() {
-		out.Header.Del(name)
+	for _, name := range d.own() {
+		if name != "" {
+			out.Header.Del(name)
+		}
 	}
 	setHeader(out, d.Team, req.GetTeam())
 	setHeader(out, d.Timeout, strconv.FormatInt(int64(left), 10))
--- a/guard/target.go
+++ b/guard/target.go
@@ -257,13 +257,10 @@
 		Queued:   uint32(t.queue.Waiting()),
 
 		Service:   string(t.spec.Service),
-		Suspicion: uint32(t.belief.At(now) * permill),
+		Suspicion: uint32(t.belief.At(now) * ident.Permill),
 	}
 }
 
-// permill turns a share into thousandths.
-const permill = 1000
-
 // mayRefresh allows one request to be sent again on a fresh connection.
 func (t *target) mayRefresh(now clock.Millis) bool {
 	t.mu.Lock()
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -42,6 +42,9 @@
 // Micros is a span in microseconds, used for latencies only.
 type Micros int64
 
+// Permill turns a share into thousandths.
+const Permill = 1000
+
 // Outcome says what a refusal knows about the refused action.
 type Outcome int
 
