Count retries by arrival; probe paths that failed; tell a leaving caller from a deadline

A request that had reached one target took a token for every guard that it asked next, also for those that refused it, so that one repeat could use up seven. 179 calls were lost after 0.8 s each on the same cut paths again and again, since every end of a path's penalty was tried out by a request. 708 calls were logged as deadline_exceeded after 100 ms: their caller had gone when the sibling call failed.

Changed: a token lasts until its repeat arrives and goes back if it does not; a failed path stays bad until a small check answers (0.25 to 1 s apart); a caller that leaves is told as canceled. Each has a test seen failing.

Ruled out: limits of the routes' attempts (two and more were left), the log's own sampling.

Tried and reverted: choosing suspect targets only after every full good one (cost of 1 and a wait instead).

--- a/choose/best_test.go
+++ b/choose/best_test.go
@@ -175,6 +175,7 @@
 				p.CountRequest(now, testService)
 				requests = append(requests, now)
 				for p.MayRetry(now, testService) {
+					p.Retried(testService)
 					retries = append(retries, now)
 				}
 			}
@@ -209,6 +210,41 @@
 	return n
 }
 
+// TestUnusedRetryIsReturned covers a repeat that no target took.
+func TestUnusedRetryIsReturned(t *testing.T) {
+	p := New("dc", "r", 1)
+	p.SetRetries(Retries{Most: 1})
+	p.CountRequest(1, testService)
+	for range 10 {
+		if !p.MayRetry(1, testService) {
+			t.Fatal("the budget lost a repeat that never arrived")
+		}
+		p.ReturnRetry(testService)
+	}
+	if p.MayRetry(1, testService); p.MayRetry(1, testService) {
+		t.Error("two repeats are allowed at once, the budget has one")
+	}
+	if p.Retried(testService); p.RetryCounts()[0].Retries != 1 {
+		t.Errorf("others are told %+v, want one repeat", p.RetryCounts())
+	}
+}
+
+// TestHeldPathIsBadUntilItWorks covers a path that a prober looks after.
+func TestHeldPathIsBadUntilItWorks(t *testing.T) {
+	p := New("dc", "r", 1)
+	p.PathFailed(1, "i")
+	if !p.HoldPath("i") || p.HoldPath("i") {
+		t.Error("a path is held other than once")
+	}
+	if !p.IsPathBad(100_000, "i") || !p.IsPathHeld("i") {
+		t.Error("a held path is used before it works")
+	}
+	p.PathWorks("i")
+	if p.IsPathBad(100_000, "i") || p.IsPathHeld("i") {
+		t.Error("a path that works is still avoided")
+	}
+}
+
 func TestCallsOfRepeatsAreCharged(t *testing.T) {
 	p := New("dc", "r", 1)
 	p.SetRetries(Retries{Most: 2})
--- a/choose/budget.go
+++ b/choose/budget.go
@@ -78,7 +78,8 @@
 	s.budget.requests++
 }
 
-// MayRetry takes one retry from a service's budget.
+// MayRetry takes one retry from a service's budget, for Retried when it has
+// arrived at a target or ReturnRetry when it has not.
 func (p *Picker) MayRetry(now clock.Millis, id ident.Service) bool {
 	s := p.service(id, true)
 	s.mu.Lock()
@@ -88,10 +89,25 @@
 		return false
 	}
 	s.budget.tokens--
-	s.budget.retries++
 	return true
 }
 
+// Retried tells that a retry taken from the budget has arrived.
+func (p *Picker) Retried(id ident.Service) {
+	s := p.service(id, true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.retries++
+}
+
+// ReturnRetry gives back a retry that arrived nowhere.
+func (p *Picker) ReturnRetry(id ident.Service) {
+	s := p.service(id, true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.add(1, p.retries.Load())
+}
+
 // ChargeRetries takes a part of a retry that was made elsewhere: the calls of a
 // repeated request are repeats, too. They are not refused.
 func (p *Picker) ChargeRetries(now clock.Millis, id ident.Service, n float64) {
--- a/choose/path.go
+++ b/choose/path.go
@@ -15,6 +15,8 @@
 type path struct {
 	failures int
 	until    clock.Millis
+	// held tells that a prober looks after the path: it is bad until it works.
+	held bool
 }
 
 // PathFailed notes that an instance could not be reached. It says nothing
@@ -34,6 +36,27 @@
 	w.failures++
 }
 
+// HoldPath keeps a path that failed bad until PathWorks. It reports whether the
+// caller is the one to probe it.
+func (p *Picker) HoldPath(id ident.Instance) bool {
+	p.pathMu.Lock()
+	defer p.pathMu.Unlock()
+	w := p.paths[id]
+	if w == nil || w.held {
+		return false
+	}
+	w.held = true
+	return true
+}
+
+// IsPathHeld reports whether a path is still to be probed.
+func (p *Picker) IsPathHeld(id ident.Instance) bool {
+	p.pathMu.RLock()
+	defer p.pathMu.RUnlock()
+	w := p.paths[id]
+	return w != nil && w.held
+}
+
 // PathWorks notes that an instance answered.
 func (p *Picker) PathWorks(id ident.Instance) {
 	p.pathMu.RLock()
@@ -52,5 +75,5 @@
 	p.pathMu.RLock()
 	defer p.pathMu.RUnlock()
 	w := p.paths[id]
-	return w != nil && now < w.until
+	return w != nil && (w.held || now < w.until)
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
 	"chestnutlatch/choose"
@@ -106,6 +107,8 @@
 	fullCost float64
 	// settled tells that the request waits wherever it is taken.
 	settled bool
+	// retry tells that a retry was taken from the budget and has not arrived.
+	retry bool
 }
 
 // dispatch finds a target that serves the request. An idempotent one is sent
@@ -120,6 +123,11 @@
 		Service: r.route.Service, OneTime: r.route.OneTime, Bytes: e.sizes.Of(r.route.ID), IsDrained: e.Table.Draining,
 	}
 	t := &r.trail
+	defer func() {
+		if t.retry {
+			e.Picker.ReturnRetry(r.route.Service)
+		}
+	}()
 	for t.asked < maxGuards && ctx.Err() == nil {
 		c, ok := e.Picker.Best(e.Clock.Now(), want, e.Costs)
 		if !t.settled && t.mustSettle(c, ok) {
@@ -176,18 +184,29 @@
 const defaultAttempts = 3
 
 // mayRepeat reports whether a request that reached a target may go to another.
+// The retry that it takes from the budget lasts until it arrives.
 func (e *Entry) mayRepeat(r *request, t *trail) bool {
 	most := int(r.route.Attempts)
 	if most == 0 {
 		most = defaultAttempts
 	}
-	if t.arrived >= most || !e.Picker.MayRetry(e.Clock.Now(), r.route.Service) {
+	if t.arrived >= most || !t.retry && !e.Picker.MayRetry(e.Clock.Now(), r.route.Service) {
 		return false
 	}
-	e.Meter.Retries.Inc()
+	t.retry = true
 	return true
 }
 
+// arrive counts a target that the request reached, or may have reached.
+func (e *Entry) arrive(r *request, t *trail) {
+	t.arrived++
+	if t.retry {
+		t.retry = false
+		e.Picker.Retried(r.route.Service)
+		e.Meter.Retries.Inc()
+	}
+}
+
 // attempt asks one guard and reports whether its word is final.
 func (e *Entry) attempt(ctx context.Context, r *request, c choose.Candidate, t *trail) bool {
 	defer e.Picker.Done(r.route.Service, c.Target)
@@ -219,13 +238,13 @@
 	t.steps = append(t.steps, step{c, reply, err, e.Clock.Now() - now})
 	if err != nil {
 		r.unknown = true
-		t.arrived++
+		e.arrive(r, t)
 		t.last = e.lost(ctx, c)
 		return r.route.OneTime
 	}
 	e.takeReport(r.route.Service, reply)
 	if reply.GetRefusal() == nil {
-		t.arrived++
+		e.arrive(r, t)
 		t.reply, t.last = reply, nil
 		return r.route.OneTime || !isServerError(reply)
 	}
@@ -237,7 +256,7 @@
 	refusal := guard.FromWire(reply.GetRefusal())
 	t.last = refusal
 	if reply.GetArrived() {
-		t.arrived++
+		e.arrive(r, t)
 	}
 	switch {
 	case refusal.Outcome == ident.OutcomeUnknown:
@@ -277,6 +296,9 @@
 
 // lost is the refusal of a request whose guard does not answer.
 func (e *Entry) lost(ctx context.Context, c choose.Candidate) *fault.Refusal {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return fault.Unknown(fault.Canceled, "request ended while it was served")
+	}
 	if ctx.Err() != nil {
 		return fault.Unknown(fault.DeadlineExceeded, "no answer in time: allow more time with %s", e.Dialect.Timeout)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,7 +99,7 @@
 	}
 	e := &Entry{Deps: d, splits: choose.NewSplitter(uint64(d.Incarnation)), sizes: choose.NewSizes()}
 	e.base, e.cut = context.WithCancel(context.Background())
-	e.link = newLink(d)
+	e.link = newLink(e.base, d)
 	return e
 }
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -64,6 +64,7 @@
 	if !e.Picker.MayRetry(e.Clock.Now(), r.route.Service) {
 		return false
 	}
+	e.Picker.Retried(r.route.Service)
 	e.Meter.Retries.Inc()
 	return true
 }
--- a/entry/link.go
+++ b/entry/link.go
@@ -23,6 +23,10 @@
 	checkTimeout = 400 * time.Millisecond
 	// checkEvery is the time between two checks of a call that goes on.
 	checkEvery = time.Second
+	// probeFirst and probeMost bound the pause before a path that failed is
+	// probed: a cut lasts seconds, and a request that tries it is lost.
+	probeFirst = 250 * time.Millisecond
+	probeMost  = time.Second
 )
 
 var (
@@ -40,14 +44,18 @@
 	guard       *guard.Guard
 	peers       *peers.Pool
 	picker      *choose.Picker
+	fleet       Fleet
 	meter       *meter.Meter
 	sequence    atomic.Uint64
+	// base ends the probes of paths.
+	base context.Context
 }
 
-func newLink(d Deps) *link {
+func newLink(base context.Context, d Deps) *link {
 	return &link{
+		base:     base,
 		instance: d.Instance, incarnation: d.Incarnation, clk: d.Clock,
-		guard: d.Guard, peers: d.Peers, picker: d.Picker, meter: d.Meter,
+		guard: d.Guard, peers: d.Peers, picker: d.Picker, fleet: d.Fleet, meter: d.Meter,
 	}
 }
 
@@ -61,7 +69,7 @@
 	reply, err := l.remote(ctx, address, req)
 	if err != nil {
 		if ctx.Err() == nil {
-			l.picker.PathFailed(l.clk.Now(), to)
+			l.failed(to, address)
 		}
 		return nil, err
 	}
@@ -69,6 +77,47 @@
 	return reply, nil
 }
 
+// failed notes a path that does not work and has it probed.
+func (l *link) failed(to ident.Instance, address string) {
+	l.picker.PathFailed(l.clk.Now(), to)
+	if l.picker.HoldPath(to) {
+		go l.probe(to, address)
+	}
+}
+
+// probe asks an instance whose path failed until it answers or is gone, so that
+// no request has to find out.
+func (l *link) probe(to ident.Instance, address string) {
+	for pause := probeFirst; l.picker.IsPathHeld(to); pause = min(2*pause, probeMost) {
+		select {
+		case <-l.base.Done():
+			return
+		case <-time.After(pause):
+		}
+		now, _, up := l.fleet.Locate(to)
+		if !up || now != address {
+			// A later life has another path, if any.
+			l.picker.PathWorks(to)
+			return
+		}
+		if l.answers(address) {
+			l.picker.PathWorks(to)
+			return
+		}
+	}
+}
+
+func (l *link) answers(address string) bool {
+	client, err := l.peers.Get(address)
+	if err != nil {
+		return false
+	}
+	ctx, done := context.WithTimeout(l.base, checkTimeout)
+	defer done()
+	_, err = client.Ping(ctx, &wire.PingRequest{})
+	return err == nil
+}
+
 // stamp numbers the request, so that its answer can be told from others.
 func (l *link) stamp(req *wire.ForwardRequest) {
 	req.SenderInstance = string(l.instance)
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -4,11 +4,16 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
+	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/ident"
 	"chestnutlatch/limit"
@@ -92,3 +97,65 @@
 		})
 	}
 }
+
+// lateDaemon answers checks once it is up, and counts the requests it gets.
+type lateDaemon struct {
+	wire.UnimplementedInnerServer
+
+	up       atomic.Bool
+	requests atomic.Int64
+}
+
+// Ping implements wire.InnerServer.
+func (d *lateDaemon) Ping(context.Context, *wire.PingRequest) (*wire.PingReply, error) {
+	if !d.up.Load() {
+		return nil, status.Error(codes.Unavailable, "cut off")
+	}
+	return &wire.PingReply{}, nil
+}
+
+// Forward implements wire.InnerServer.
+func (d *lateDaemon) Forward(context.Context, *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	d.requests.Add(1)
+	return nil, status.Error(codes.Unavailable, "cut off")
+}
+
+// TestFailedPathIsProbed covers a cut of seconds: after the first request that
+// is lost, checks find out when the path works again.
+func TestFailedPathIsProbed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	far := &lateDaemon{}
+	srv := grpc.NewServer()
+	wire.RegisterInnerServer(srv, far)
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(srv.Stop)
+	s := newSite(t, [2]string{good, good})
+	s.link.fleet = &farFleet{address: l.Addr().String()}
+	if _, err := s.link.call(context.Background(), "far", l.Addr().String(), &wire.ForwardRequest{}); err == nil {
+		t.Fatal("a cut daemon answered")
+	}
+	if !s.Picker.IsPathBad(s.Clock.Now()+clock.Minute, "far") {
+		t.Error("a path that nobody has tried since counts as well")
+	}
+	far.up.Store(true)
+	for s.Picker.IsPathHeld("far") {
+		time.Sleep(time.Millisecond)
+	}
+	if n := far.requests.Load(); n != 1 {
+		t.Errorf("%d requests were spent on the cut path, want 1", n)
+	}
+}
+
+// farFleet is a fleet of one far daemon.
+type farFleet struct {
+	lone
+
+	address string
+}
+
+func (f *farFleet) Locate(ident.Instance) (string, ident.Incarnation, bool) {
+	return f.address, 1, true
+}
--- a/entry/strict_test.go
+++ b/entry/strict_test.go
@@ -159,6 +159,42 @@
 	}
 }
 
+// TestRefusedRetryStaysInTheBudget covers a repeat that no other target takes:
+// the budget counts arrivals, and none came of it.
+func TestRefusedRetryStaysInTheBudget(t *testing.T) {
+	s := newSite(t, [2]string{bad, good})
+	s.Dialect = guard.Dialect{Attempt: "X-Id", Timeout: "X-Left"}
+	s.Picker.SetRetries(choose.Retries{Most: 1})
+	s.Guard.Leave("t1")
+	r := &request{route: record.Route{ID: "look", Service: "svc", Timeout: 2000, Attempts: 2}, deadline: s.Clock.Now() + 2000}
+	var c fasthttp.RequestCtx
+	c.Request.SetRequestURI("/look")
+	r.out = s.toForward(&c, r)
+	for s.hits[0].Load() == 0 {
+		r.trail = trail{}
+		if _, refusal := s.dispatch(s.base, r); refusal != nil && s.hits[0].Load() > 0 {
+			t.Fatalf("the failed answer is not returned: %v", refusal)
+		}
+	}
+	if counts := s.Picker.RetryCounts(); len(counts) != 1 || counts[0].Retries != 0 {
+		t.Errorf("others are told of %+v, want no repeat", counts)
+	}
+	if !s.Picker.MayRetry(s.Clock.Now(), "svc") {
+		t.Error("the budget lost a repeat that never arrived")
+	}
+}
+
+// TestLeavingCallerIsNoTimeout covers a caller that goes away while a target
+// works: the log must not call it a deadline.
+func TestLeavingCallerIsNoTimeout(t *testing.T) {
+	s := newSite(t, [2]string{good, good})
+	ctx, leave := context.WithCancel(context.Background())
+	leave()
+	if got := s.lost(ctx, choose.Candidate{}); got.Kind != fault.Canceled {
+		t.Errorf("a caller that left is told as %s", got.Kind)
+	}
+}
+
 // agingFleet names a later life of every daemon once something was sent.
 type agingFleet struct {
 	lone
