Teams' ranks go before routes' priorities; calls are not one small team

Cause: the rank of a team was read and not used. Calls of running work bear no team and share the line of the nameless team, so that in a rush of eight teams they got a ninth of the slots while the work that made them held its own.

Changed: of the teams within their share those of the first rank are served first, ranks have 16, 4 and 1 parts, calls have the first rank; the line that makes room is found by itself, not by its name. A service that nobody asked yet has saved retries since the daemon started: in the first seconds of a fleet a third of the targets is tried for the first time.

Ruled out: a strict order, by which one rank could starve the others.

--- a/choose/best_test.go
+++ b/choose/best_test.go
@@ -245,6 +245,24 @@
 	}
 }
 
+// TestBudgetFillsFromTheStart covers the first seconds of a fleet, in which many
+// targets are tried for the first time: a service that nobody asked yet has
+// saved retries since the daemon started.
+func TestBudgetFillsFromTheStart(t *testing.T) {
+	p := New("dc", "r", 1)
+	p.SetRetries(Retries{PerSecond: 0.5, Most: 4})
+	const asked = 8 * clock.Second
+	p.CountRequest(asked, testService)
+	for n := range 4 {
+		if !p.MayRetry(asked, testService) {
+			t.Fatalf("%d retries after 8 s, want 4", n)
+		}
+	}
+	if p.MayRetry(asked, testService) {
+		t.Error("more retries than may be saved")
+	}
+}
+
 func TestCallsOfRepeatsAreCharged(t *testing.T) {
 	p := New("dc", "r", 1)
 	p.SetRetries(Retries{Most: 2})
--- a/choose/budget.go
+++ b/choose/budget.go
@@ -54,10 +54,11 @@
 	retries  uint64
 }
 
+// refill brings the budget up to a time on the daemon's clock. A service that is
+// asked for the first time has saved retries since the daemon started.
 func (b *budget) refill(now clock.Millis, r *Retries) {
 	if !b.seen {
-		b.seen, b.at, b.tokens = true, now, min(1, r.Most)
-		return
+		b.seen, b.tokens = true, min(1, r.Most)
 	}
 	b.add(float64(now-b.at)/float64(clock.Second)*r.PerSecond, r)
 	b.at = now
--- a/entry/http.go
+++ b/entry/http.go
@@ -103,6 +103,7 @@
 		Team:     string(r.team.ID),
 		Priority: uint32(r.route.Priority),
 		Weight:   r.team.Weight,
+		Rank:     r.team.Rank,
 		Method:   string(c.Method()),
 		Uri:      string(c.Request.Header.RequestURI()),
 		Body:     append([]byte(nil), c.PostBody()...),
--- a/guard/platform_test.go
+++ b/guard/platform_test.go
@@ -16,6 +16,7 @@
 	"chestnutlatch/fault"
 	"chestnutlatch/ident"
 	"chestnutlatch/once"
+	"chestnutlatch/queue"
 	"chestnutlatch/wire"
 )
 
@@ -361,7 +362,7 @@
 	waiting := make(chan *wire.ForwardReply, 1)
 	go func() { waiting <- g.Forward(context.Background(), attempt("a2", true)) }()
 	target := g.find("t")
-	for target.waitFor(0, ident.PriorityLow) == 0 && func() bool { target.mu.Lock(); defer target.mu.Unlock(); return target.queue.Waiting() == 0 }() {
+	for target.waitFor(0, queue.Job{}) == 0 && func() bool { target.mu.Lock(); defer target.mu.Unlock(); return target.queue.Waiting() == 0 }() {
 		time.Sleep(time.Millisecond)
 	}
 	g.Beat(Beat{Spec: spec, Born: 1, Sequence: 2, Draining: true})
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -38,6 +38,7 @@
 		Team:     ident.Team(req.GetTeam()),
 		Priority: min(ident.Priority(req.GetPriority()), ident.PriorityUrgent),
 		Weight:   max(req.GetWeight(), 1),
+		Rank:     req.GetRank(),
 		Deadline: now + timeout,
 	}
 	if g.cfg.Dialect.Attempt != "" {
@@ -52,7 +53,7 @@
 		spare = job.Deadline - now
 	}
 	if g.cfg.Dialect.Attempt != "" {
-		if wait := t.waitFor(now, job.Priority); wait > spare {
+		if wait := t.waitFor(now, job); wait > spare {
 			return nil, refusalOf(fault.QueueFull, t.spec.ID).After(wait), false
 		}
 	}
--- a/guard/target.go
+++ b/guard/target.go
@@ -193,11 +193,11 @@
 }
 
 // waitFor estimates how long a new request waits for a slot.
-func (t *target) waitFor(now clock.Millis, p ident.Priority) clock.Millis {
+func (t *target) waitFor(now clock.Millis, j queue.Job) clock.Millis {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	free := t.queue.Slots() - t.queue.Running()
-	ahead := t.queue.Ahead(now, p) + 1 - free
+	ahead := t.queue.Ahead(now, j) + 1 - free
 	if ahead <= 0 {
 		return 0
 	}
--- a/queue/late_test.go
+++ b/queue/late_test.go
@@ -84,7 +84,7 @@
 	for i := range 4 {
 		q.Offer(0, Job{ID: JobID(i), Team: "t", Deadline: 1000})
 	}
-	if n := q.Ahead(0, ident.PriorityLow); n != 3 {
+	if n := q.Ahead(0, Job{Priority: ident.PriorityLow}); n != 3 {
 		t.Errorf("%d jobs are ahead of a new one, want 3", n)
 	}
 	effects := q.Flush(fault.Draining)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -18,6 +18,10 @@
 // priority first.
 var priorityWeights = [priorityCount]float64{1, 4, 16, 64}
 
+// rankWeights times a team's weight is its part of the slots, by rank, first
+// rank first. The last one holds for all ranks after it.
+var rankWeights = [...]float64{16, 4, 1}
+
 // shareSlack is how many requests, by its weight, a team may be ahead of the
 // team served least. Within it the priority decides, beyond it the team waits.
 const shareSlack = 4
@@ -34,8 +38,10 @@
 	ID       JobID
 	Team     ident.Team
 	Priority ident.Priority
-	// Weight is the team's part against other teams, at least 1.
+	// Weight is the team's part against other teams of its rank, at least 1.
 	Weight uint32
+	// Rank is the team's, 0 first; it goes before the priority.
+	Rank uint32
 	// Deadline is when the request is of no use any more.
 	Deadline clock.Millis
 	// Start is when the request should have started to be answered in time; 0
@@ -44,6 +50,11 @@
 	Start clock.Millis
 }
 
+// part is the team's part against all other teams.
+func (j Job) part() float64 {
+	return float64(max(j.Weight, 1)) * rankWeights[min(int(j.Rank), len(rankWeights)-1)]
+}
+
 // isLate reports whether the job can no longer be answered in time.
 func (j Job) isLate(now clock.Millis) bool { return j.Start > 0 && now > j.Start }
 
@@ -71,8 +82,9 @@
 	// jobs are in order of arrival, by priority.
 	jobs  [priorityCount][]Job
 	count int
-	// weight is that of the newest job.
+	// weight and rank are those of the newest job.
 	weight float64
+	rank   uint32
 	// pass is the line's virtual time: the requests served, by weight.
 	pass float64
 }
@@ -142,12 +154,19 @@
 	return append(effects, q.fill(now)...)
 }
 
-// Ahead returns the number of waiting jobs that start before a new one of a
-// priority that is not late.
-func (q *Queue) Ahead(now clock.Millis, p ident.Priority) int {
+// Ahead returns the number of waiting jobs that start before a new one that is
+// not late, as long as its team is not ahead of its share.
+func (q *Queue) Ahead(now clock.Millis, j Job) int {
 	n := 0
 	for _, l := range q.lines {
-		for c := int(p); c < priorityCount; c++ {
+		if l.rank > j.Rank {
+			continue
+		}
+		first := int(j.Priority)
+		if l.rank < j.Rank {
+			first = 0
+		}
+		for c := first; c < priorityCount; c++ {
 			for _, j := range l.jobs[c] {
 				if !j.isLate(now) {
 					n++
@@ -193,7 +212,7 @@
 	if q.counts[j.Priority] == 0 {
 		q.classes[j.Priority] = max(q.classes[j.Priority], q.classFloor)
 	}
-	l.weight = float64(max(j.Weight, 1))
+	l.weight, l.rank = j.part(), j.Rank
 	l.jobs[j.Priority] = append(l.jobs[j.Priority], j)
 	l.count++
 	q.counts[j.Priority]++
@@ -215,8 +234,8 @@
 }
 
 // next takes the job to start among those that match: of the teams that are not
-// ahead of their share, the priority with the lowest virtual time, and in it
-// the team served least.
+// ahead of their share, those of the first rank, among these the priority with
+// the lowest virtual time, and in it the team served least.
 func (q *Queue) next(match func(Job) bool) (Job, bool) {
 	low := q.lowest(match)
 	if math.IsInf(low, 1) {
@@ -226,8 +245,9 @@
 	q.forgetIdle()
 	best := -1
 	var team ident.Team
+	rank := q.firstRank(match)
 	for p := priorityCount - 1; p >= 0; p-- {
-		t, ok := q.leastServed(p, match)
+		t, ok := q.leastServed(p, rank, match)
 		if ok && (best < 0 || q.classes[p] < q.classes[best]) {
 			best, team = p, t
 		}
@@ -276,11 +296,31 @@
 	}
 }
 
+// isAhead reports whether a team has got more than its share.
+func (q *Queue) isAhead(l *line) bool { return l.pass > q.floor+shareSlack/l.weight }
+
+// firstRank returns the first rank of a team that has a job that matches and is
+// not ahead of its share.
+func (q *Queue) firstRank(match func(Job) bool) uint32 {
+	rank := uint32(math.MaxUint32)
+	for _, l := range q.lines {
+		if l.rank >= rank || q.isAhead(l) {
+			continue
+		}
+		for p := range l.jobs {
+			if l.first(p, match) >= 0 {
+				rank = l.rank
+			}
+		}
+	}
+	return rank
+}
+
 // leastServed returns the team with the lowest virtual time that has a job of
-// the priority that matches and is not ahead of its share.
-func (q *Queue) leastServed(p int, match func(Job) bool) (best ident.Team, found bool) {
+// the priority that matches, is of the rank and not ahead of its share.
+func (q *Queue) leastServed(p int, rank uint32, match func(Job) bool) (best ident.Team, found bool) {
 	for team, l := range q.lines {
-		if l.first(p, match) < 0 || l.pass > q.floor+shareSlack/l.weight {
+		if l.rank != rank || l.first(p, match) < 0 || q.isAhead(l) {
 			continue
 		}
 		if !found || l.pass < q.lines[best].pass || l.pass == q.lines[best].pass && team < best {
@@ -307,9 +347,8 @@
 	if own != nil {
 		mine += float64(own.count)
 	}
-	mine /= float64(max(j.Weight, 1))
-	team := q.longest()
-	if l := q.lines[team]; team != "" && team != j.Team && l.share() > mine {
+	mine /= j.part()
+	if team, l := q.longest(); l != nil && team != j.Team && l.share() > mine {
 		return q.dropNewest(l, func(int) bool { return true })
 	}
 	if own == nil {
@@ -329,15 +368,15 @@
 	return p < to || q.counts[to] < reserve
 }
 
-func (q *Queue) longest() ident.Team {
-	var best ident.Team
+// longest returns the team that holds most places for its part, or no line.
+func (q *Queue) longest() (best ident.Team, longest *line) {
 	most := 0.0
 	for team, l := range q.lines {
 		if s := l.share(); s > most || s == most && s > 0 && team < best {
-			best, most = team, s
+			best, longest, most = team, l, s
 		}
 	}
-	return best
+	return best, longest
 }
 
 // dropNewest drops the newest job of the lowest priority that may go.
