--- a/choose/best.go
+++ b/choose/best.go
@@ -57,9 +57,13 @@
 	var best *target
 	least := 0.0
 	near := p.nearBusy(now, s)
+	look := !w.OneTime && s.budget.tokens >= 1 && s.rnd.IntN(lookOneIn) == 0
 	for _, t := range without(s.eligible(w), w.Skip) {
 		// The random part spreads the daemons over equal targets.
 		cost := p.costOf(now, t, w, costs, near) + tieBreak*s.rnd.Float64()
+		if look && p.isDueForLook(now, t) {
+			cost = -costs.Look
+		}
 		if best == nil || cost < least {
 			best, least = t, cost
 		}
@@ -77,6 +81,25 @@
 	return c, true
 }
 
+const (
+	// lookOneIn is the part of the idempotent requests, one in lookOneIn, that
+	// may look whether a suspect target is well again. A look that fails takes
+	// a retry from the budget.
+	lookOneIn = 4
+	// suspectAt is the suspicion from which failure is more likely than not.
+	suspectAt = 0.5
+	// lookUnder is the suspicion under which the last look is old enough for
+	// another one: with the model of spells, a second and a half after it.
+	lookUnder = 0.8
+)
+
+// isDueForLook reports whether an idempotent request should find out whether a
+// target of the own data centre, where a look costs no way, is well again.
+func (p *Picker) isDueForLook(now clock.Millis, t *target) bool {
+	suspicion := t.suspicionAt(now)
+	return suspicion >= suspectAt && suspicion < lookUnder && p.distance(t) == 0
+}
+
 // isKnown reports whether a guard's word on the target is fresh.
 func (t *target) isKnown(now clock.Millis) bool {
 	return t.reported > 0 && now-t.reported <= reportLife
--- a/health/belief.go
+++ b/health/belief.go
@@ -22,7 +22,7 @@
 // DefaultModel suits targets that fail for several seconds at a time, with
 // ordinary errors of one or two in a hundred.
 func DefaultModel() Model {
-	return Model{Onset: 12 * clock.Second, Spell: 4 * clock.Second, FailsInSpell: 0.75, FailsWell: 0.02}
+	return Model{Onset: 18 * clock.Second, Spell: 6 * clock.Second, FailsInSpell: 0.75, FailsWell: 0.02}
 }
 
 // Prior is the belief about a target of which nothing was seen lately.
