Say that nothing ran when it is known; use young connections after one was forgotten

A request whose time was over while it waited got 504 even where its guard's word was that it has not run; now that word goes out as 503, and 504 stays for what may have run.

Cause of the second: targets may forget idle connections sooner than they say. An idempotent request is sent again, a one-time action ends as unknown, and the pool went on to use connections of four seconds and more. After a reset within 50 ms on a reused connection, only connections of half that rest are used again for 10 s.

--- a/entry/http.go
+++ b/entry/http.go
@@ -171,7 +171,7 @@
 	switch {
 	case !e.byAttempt() || status < fasthttp.StatusInternalServerError && status != fasthttp.StatusTooManyRequests && r.Kind != fault.Canceled:
 		return status
-	case r.Kind == fault.DeadlineExceeded:
+	case r.Outcome == ident.OutcomeUnknown && r.Kind == fault.DeadlineExceeded:
 		return fasthttp.StatusGatewayTimeout
 	case r.Outcome == ident.OutcomeUnknown:
 		return fasthttp.StatusBadGateway
--- a/entry/strict_test.go
+++ b/entry/strict_test.go
@@ -108,7 +108,7 @@
 		if got := s.statusOf(unknown); got == 429 || got == 503 || got == 408 || got == 421 {
 			t.Errorf("%s with an unknown outcome has status %d", kind, got)
 		}
-		if got := s.statusOf(notRun); got == 499 || got == 502 {
+		if got := s.statusOf(notRun); got == 499 || got == 502 || got == 504 {
 			t.Errorf("%s that has not run has status %d", kind, got)
 		}
 	}
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -25,6 +25,12 @@
 	idleLimit = 4 * clock.Second
 	// dialTimeout bounds a new connection to a target.
 	dialTimeout = time.Second
+	// forgottenWithin is the time in which the other end resets a request on a
+	// connection that it has forgotten: it needs no work for that.
+	forgottenWithin = 50 * clock.Millisecond
+	// distrustFor is how long connections are trusted for less rest after one
+	// was forgotten, in milliseconds.
+	distrustFor = 10 * clock.Second
 	// restPart is the part, in hundredths, of a target's idle time-out after
 	// which a connection is not used again.
 	restPart = 80
@@ -84,6 +90,10 @@
 
 	mu   sync.Mutex
 	idle []*targetConn
+	// trusted is the longest rest of a connection that is used again, until
+	// distrusted is over.
+	trusted    clock.Millis
+	distrusted clock.Millis
 }
 
 func newConnPool(address string, cfg Config, clk clock.Clock) *connPool {
@@ -119,7 +129,12 @@
 		return nil
 	}
 	c := p.idle[n-1]
-	if p.clk.Now()-c.parked > c.rest {
+	now := p.clk.Now()
+	most := c.rest
+	if now < p.distrusted {
+		most = min(most, p.trusted)
+	}
+	if now-c.parked > most {
 		p.closeIdle()
 		return nil
 	}
@@ -152,6 +167,17 @@
 	p.idle = append(p.idle, c)
 }
 
+// distrust notes that the other end forgot a connection after a rest. One-time
+// actions cannot be sent again, so the next ones use younger connections.
+func (p *connPool) distrust(now, rest clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now < p.distrusted {
+		rest = min(rest, p.trusted)
+	}
+	p.trusted, p.distrusted = rest/2, now+distrustFor
+}
+
 // closeAll drops the idle connections.
 func (p *connPool) closeAll() {
 	p.mu.Lock()
@@ -178,11 +204,15 @@
 		return err
 	}
 	c.gotByte.Store(false)
+	sent := p.clk.Now()
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
 	whole, err := c.roundTrip(p.dialect, req, resp, maxBody, firstByte)
 	stopped := stop()
 	if err != nil {
 		_ = c.Close()
+		if c.reused && !c.gotByte.Load() && ctx.Err() == nil && p.clk.Now()-sent <= forgottenWithin {
+			p.distrust(sent, sent-c.parked)
+		}
 		return p.explain(ctx, c, err)
 	}
 	if resp.ConnectionClose() || !stopped || !whole || c.given.Load() {
