Metrics that tell what fails: requests by kind and end, waits, target times

On-call could not tell a full service from a slow one, nor see that one-time actions fail: counters had kinds of refusal only.

--- a/choose/budget.go
+++ b/choose/budget.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"math"
 	"sort"
 
 	"chestnutlatch/clock"
@@ -123,6 +124,25 @@
 	s.budget.retries += whole
 }
 
+// RetriesLeft returns the retries saved for the service that has least of them,
+// 0 if no service was asked yet.
+func (p *Picker) RetriesLeft() float64 {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	least := math.Inf(1)
+	for _, s := range p.services {
+		s.mu.Lock()
+		if s.budget.seen {
+			least = min(least, max(s.budget.tokens, 0))
+		}
+		s.mu.Unlock()
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return least
+}
+
 // RetryCounts returns this daemon's counts of every service.
 func (p *Picker) RetryCounts() []RetryCount {
 	p.mu.RLock()
--- a/choose/path.go
+++ b/choose/path.go
@@ -70,10 +70,25 @@
 	delete(p.paths, id)
 }
 
+// BadPaths returns the number of instances that are avoided.
+func (p *Picker) BadPaths(now clock.Millis) int {
+	p.pathMu.RLock()
+	defer p.pathMu.RUnlock()
+	n := 0
+	for _, w := range p.paths {
+		if w.isBad(now) {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *path) isBad(now clock.Millis) bool { return w.held || now < w.until }
+
 // IsPathBad reports whether an instance is avoided.
 func (p *Picker) IsPathBad(now clock.Millis, id ident.Instance) bool {
 	p.pathMu.RLock()
 	defer p.pathMu.RUnlock()
 	w := p.paths[id]
-	return w != nil && (w.held || now < w.until)
+	return w != nil && w.isBad(now)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -206,6 +206,7 @@
 	cfg := guard.Config{QueueLimit: d.cfg.QueueLimit, MaxAnswerBytes: d.cfg.MaxAnswerBytes, Incarnation: d.incarnation}
 	deps := guard.Deps{
 		Clock: d.clk, Log: d.log.Named("guard"), Peers: d.vitals, Pool: d.pool, Home: home, IsDrained: d.table.Draining,
+		Meter: d.meter,
 	}
 	if d.platform != nil {
 		cfg.Dialect = d.platform.Dialect
@@ -300,6 +301,9 @@
 	d.meter.Gauge("chestnutlatch_members", func() float64 { return float64(d.fleet.count()) })
 	d.meter.Gauge("chestnutlatch_targets", func() float64 { return float64(d.picker.Count()) })
 	d.meter.Gauge("chestnutlatch_rate_slots_held", func() float64 { return float64(d.slots.count()) })
+	d.meter.Gauge("chestnutlatch_suspect_targets", func() float64 { return float64(d.guard.Suspects(d.clk.Now())) })
+	d.meter.Gauge("chestnutlatch_bad_paths", func() float64 { return float64(d.picker.BadPaths(d.clk.Now())) })
+	d.meter.Gauge("chestnutlatch_retries_left", func() float64 { return d.picker.RetriesLeft() })
 	d.meter.Gauge("chestnutlatch_tickets_open", func() float64 {
 		open, _ := d.guard.TicketStats()
 		return float64(open)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -136,9 +136,36 @@
 	} else {
 		e.Meter.Served.Inc()
 	}
+	e.count(c, r, refusal)
 	e.logEnd(c, r, refusal, time.Since(began))
 }
 
+// count counts the end of a request whose route is known.
+func (e *Entry) count(c *fasthttp.RequestCtx, r *request, refusal *fault.Refusal) {
+	if r == nil {
+		return
+	}
+	end := meter.EndServed
+	switch {
+	case refusal != nil:
+		end = refusal.Outcome.String()
+	case c.Response.StatusCode() >= fasthttp.StatusInternalServerError:
+		end = meter.EndFailed
+	}
+	e.Meter.Ended(kindOf(r.route), end)
+}
+
+func kindOf(r record.Route) meter.RouteKind {
+	switch {
+	case r.Open:
+		return meter.RouteCall
+	case r.OneTime:
+		return meter.RouteOneTime
+	default:
+		return meter.RouteIdempotent
+	}
+}
+
 // Cut ends the requests under way, for a planned stop whose time is over. Those
 // that wait for a slot are told that they have not run.
 func (e *Entry) Cut() { e.cut() }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -79,8 +79,9 @@
 	t.Cleanup(pool.Release)
 	clk := clock.NewSystem()
 	home := once.New(once.Config{Instance: "i", Incarnation: 1, Secret: []byte("s"), TTL: clock.Minute, MaxOpen: 1000, MaxKeptBytes: 1 << 20})
+	counts := meter.New()
 	g := guard.New(guard.Config{QueueLimit: 64, MaxAnswerBytes: 1 << 20}, guard.Deps{
-		Clock: clk, Log: hclog.NewNullLogger(), Peers: s.fleet, Pool: pool, Home: home,
+		Meter: counts, Clock: clk, Log: hclog.NewNullLogger(), Peers: s.fleet, Pool: pool, Home: home,
 		IsDrained: func(ident.Target) bool { return false },
 	})
 	picker := choose.New("dc", "r", 1)
@@ -90,7 +91,7 @@
 		picker.Put("svc", choose.Candidate{Target: id, Instance: "i", DataCentre: "dc", Region: "r", Slots: 64, Up: true})
 	}
 	s.Entry = New(Deps{
-		Instance: "i", Incarnation: 1, Clock: clk, Log: hclog.NewNullLogger(), Meter: meter.New(), Table: testTable(t),
+		Instance: "i", Incarnation: 1, Clock: clk, Log: hclog.NewNullLogger(), Meter: counts, Table: testTable(t),
 		Picker: picker, Purse: limit.NewPurse(3, func(limit.Slot) int { return 0 }), Guard: g,
 		Peers: peers.New(insecure.NewCredentials(), "secret"), Fleet: s.fleet, Drawer: s.fleet, Pool: pool, MaxBody: 1000,
 	})
@@ -244,6 +245,30 @@
 	}
 }
 
+// TestRequestsAreCounted covers the metrics by which on-call sees what fails.
+func TestRequestsAreCounted(t *testing.T) {
+	s := newSite(t, [2]string{good, good})
+	s.do("GET", "/look", keyed(), "")
+	s.do("GET", "/bare", keyed(), "")
+	s.do("POST", "/act", keyed("Idempotency-Key", "t1~i~0~1~1~x"), "")
+	failing := newSite(t, [2]string{bad, bad})
+	failing.do("GET", "/look", keyed(), "")
+	var text strings.Builder
+	s.Meter.Write(&text)
+	failing.Meter.Write(&text)
+	for _, want := range []string{
+		`chestnutlatch_requests_total{kind="idempotent",end="served"} 1`,
+		`chestnutlatch_requests_total{kind="idempotent",end="not_run"} 1`,
+		`chestnutlatch_requests_total{kind="one_time",end="unknown"} 1`,
+		`chestnutlatch_requests_total{kind="idempotent",end="failed"} 1`,
+		`chestnutlatch_target_time_seconds_count 1`, `chestnutlatch_queue_wait_seconds_count 1`,
+	} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("metrics lack %s", want)
+		}
+	}
+}
+
 // TestOverRateVoidsTheTicket refuses an action over its rate as not run; a
 // delayed copy of it must not run afterwards.
 func TestOverRateVoidsTheTicket(t *testing.T) {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -18,6 +18,7 @@
 	"chestnutlatch/health"
 	"chestnutlatch/ident"
 	"chestnutlatch/member"
+	"chestnutlatch/meter"
 	"chestnutlatch/once"
 	"chestnutlatch/wire"
 )
@@ -60,6 +61,7 @@
 	cfg   Config
 	clk   clock.Clock
 	log   hclog.Logger
+	meter *meter.Meter
 	peers PeerStats
 	pool  *ants.Pool
 	home  *tickets
@@ -94,6 +96,8 @@
 	Attempts *once.Attempts
 	// IsDrained is the operators' word on a target.
 	IsDrained func(ident.Target) bool
+	// Meter takes the times of requests; nil stands for one that nobody reads.
+	Meter *meter.Meter
 }
 
 // New returns a guard without targets.
@@ -107,8 +111,11 @@
 	if d.Attempts == nil {
 		d.Attempts = once.NewAttempts(once.AttemptConfig{})
 	}
+	if d.Meter == nil {
+		d.Meter = meter.New()
+	}
 	return &Guard{
-		cfg: cfg, clk: d.Clock, log: d.Log, peers: d.Peers, pool: d.Pool, isDrained: d.IsDrained,
+		cfg: cfg, clk: d.Clock, log: d.Log, meter: d.Meter, peers: d.Peers, pool: d.Pool, isDrained: d.IsDrained,
 		home:     newTickets(d.Home),
 		attempts: newAttempts(d.Attempts),
 		targets:  map[ident.Target]*target{},
@@ -184,6 +191,17 @@
 	return out
 }
 
+// Suspects returns the number of local targets that probably fail.
+func (g *Guard) Suspects(now clock.Millis) int {
+	n := 0
+	for _, t := range g.list() {
+		if g.cfg.RefuseAt > 0 && t.suspicion(now) >= g.cfg.RefuseAt {
+			n++
+		}
+	}
+	return n
+}
+
 // Reports returns the state of every target, for the data centre.
 func (g *Guard) Reports(now clock.Millis) []*wire.LoadReport {
 	var out []*wire.LoadReport
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -61,6 +61,7 @@
 		return nil, r, false
 	}
 	defer func() { t.release(g.clk.Now()) }()
+	g.meter.QueueWait.Update(float64(g.clk.Now()-now) / float64(clock.Second))
 	if req.GetRepeat() {
 		g.repeats.Add(1)
 		defer g.repeats.Add(-1)
@@ -104,6 +105,7 @@
 	began := time.Now()
 	err := g.attempt(ctx, t, out, in, !req.GetOneTime())
 	latency := ident.Micros(time.Since(began).Microseconds())
+	g.meter.TargetTime.UpdateDuration(began)
 	sample := g.endOf(t, err, in.StatusCode(), latency)
 	before, after := t.judgeEnd(sample, ident.Priority(req.GetPriority()))
 	g.logEnd(t, req, sample, in.StatusCode(), err, before, after)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -37,6 +37,10 @@
 	BadDocuments *metrics.Counter
 	// Duration is the time of a request at the entry, in seconds.
 	Duration *metrics.Histogram
+	// QueueWait is the time that a request waited for a slot, TargetTime that
+	// for which its target had it, in seconds.
+	QueueWait  *metrics.Histogram
+	TargetTime *metrics.Histogram
 }
 
 // New returns a meter with all counters at zero.
@@ -57,9 +61,34 @@
 		BadBeats:     s.NewCounter("chestnutlatch_heartbeats_refused_total"),
 		BadDocuments: s.NewCounter("chestnutlatch_configurations_refused_total"),
 		Duration:     s.NewHistogram("chestnutlatch_request_duration_seconds"),
+		QueueWait:    s.NewHistogram("chestnutlatch_queue_wait_seconds"),
+		TargetTime:   s.NewHistogram("chestnutlatch_target_time_seconds"),
 	}
 }
 
+// Ways in which a request ends, besides the outcomes of refusals.
+const (
+	// EndServed is a target's whole answer, EndFailed one with a server error.
+	EndServed = "served"
+	EndFailed = "failed"
+)
+
+// RouteKind is what a route allows with a request.
+type RouteKind string
+
+// Kinds of routes.
+const (
+	RouteOneTime    RouteKind = "one_time"
+	RouteIdempotent RouteKind = "idempotent"
+	// RouteCall is open to all: calls that targets make themselves.
+	RouteCall RouteKind = "call"
+)
+
+// Ended counts a request by its route's kind and its end.
+func (m *Meter) Ended(k RouteKind, end string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chestnutlatch_requests_total{kind=%q,end=%q}`, k, end)).Inc()
+}
+
 // Refused counts a refusal by kind and outcome.
 func (m *Meter) Refused(r *fault.Refusal) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chestnutlatch_refused_total{kind=%q,outcome=%q}`, r.Kind, r.Outcome)).Inc()
