A leaving daemon ends its requests' waits before its instance goes

In the logs the instance's target says that it leaves at 22.90 s and is deleted at 25.41 s; SIGTERM comes at 27.40 s and the instance is gone at 27.71 s. Two requests that had come at 22.96 and 23.46 s were still waiting at full targets of other instances, or had just started there.

Ruled out: the time to stop (the process is taken away, it does not end), the readiness question (it was answered with 503 at once; callers stop coming two questions later).

What runs is left alone. Also: a request that only waited when its sender ended is told as not run, not as unknown.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -236,6 +236,7 @@
 		deps.Dialect = d.platform.Dialect
 		deps.Service = d.cfg.Service
 		deps.Shares = d.shares
+		deps.LeaveTime = d.cfg.LeaveTime
 	}
 	return entry.New(deps)
 }
@@ -357,6 +358,7 @@
 		d.near.start(ctx, l.members)
 		go d.roster.run(ctx)
 		go d.docs.run(ctx)
+		go d.endWaits(ctx)
 		return failed
 	}
 	d.members.start(ctx, l.members)
--- a/daemon/inner.go
+++ b/daemon/inner.go
@@ -55,6 +55,11 @@
 	return entry.TicketsReply(s.d.guard, ident.Team(req.GetTeam()), ident.Service(req.GetService()), int(req.GetCount())), nil
 }
 
+// Release implements wire.InnerServer.
+func (s *innerServer) Release(_ context.Context, req *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+	return &wire.ReleaseReply{Released: uint32(s.d.guard.Release(ident.Instance(req.GetSenderInstance())))}, nil
+}
+
 // Draw implements wire.InnerServer.
 func (s *innerServer) Draw(_ context.Context, req *wire.DrawRequest) (*wire.DrawReply, error) {
 	return s.d.slots.Draw(req), nil
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -37,8 +37,25 @@
 	d.log.Info("daemon stopped")
 }
 
+// endWaits ends the waits of this daemon's requests in time before the instance
+// goes with its target.
+func (d *Daemon) endWaits(ctx context.Context) {
+	tick := time.NewTicker(endWaitsTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			d.entry.EndWaits(d.clk.Now())
+		}
+	}
+}
+
 const (
-	leaveStep = 20 * time.Millisecond
+	// endWaitsTick is the time between two looks whether waits must end.
+	endWaitsTick = 250 * time.Millisecond
+	leaveStep    = 20 * time.Millisecond
 	// stopCut is how long before the supervisor kills the process the callers
 	// that still wait are answered.
 	stopCut = clock.Second
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -129,6 +129,9 @@
 		}
 	}()
 	for t.asked < maxGuards && ctx.Err() == nil {
+		if t.asked >= lastAsks && e.waitOf(e.Clock.Now()) > 0 {
+			break
+		}
 		c, ok := e.Picker.Best(e.Clock.Now(), want, e.Costs)
 		if !t.settled && t.mustSettle(c, ok) {
 			// Nobody good takes it at once: the best of those who would is
@@ -225,6 +228,10 @@
 		// Everything better is taken: to ask others would only cost time.
 		r.out.SpareMs = 0
 	}
+	r.out.WaitMs = uint32(e.waitOf(now))
+	if r.out.WaitMs > 0 && (r.out.SpareMs == 0 || r.out.SpareMs > r.out.WaitMs) {
+		r.out.SpareMs = r.out.WaitMs
+	}
 	r.out.Repeat = t.arrived > 0
 	// A later life of the daemon knows nothing of what is sent now.
 	_, home, _ := e.Fleet.Locate(c.Instance)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,6 +73,10 @@
 	LogSample int
 	// Costs weigh the targets of a request.
 	Costs choose.Costs
+	// LeaveTime is how long a target that leaves still serves, in milliseconds;
+	// its instance goes as long after it. 0 means that daemons do not go with
+	// their targets.
+	LeaveTime clock.Millis
 }
 
 // Admitter keeps the teams' rates without a call.
--- a/entry/link.go
+++ b/entry/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,11 +50,15 @@
 	sequence    atomic.Uint64
 	// base ends the probes of paths.
 	base context.Context
+
+	mu sync.Mutex
+	// busy counts the calls under way by the peer's inner address.
+	busy map[string]int
 }
 
 func newLink(base context.Context, d Deps) *link {
 	return &link{
-		base:     base,
+		base: base, busy: map[string]int{},
 		instance: d.Instance, incarnation: d.Incarnation, clk: d.Clock,
 		guard: d.Guard, peers: d.Peers, picker: d.Picker, fleet: d.Fleet, meter: d.Meter,
 	}
@@ -131,6 +136,8 @@
 	if err != nil {
 		return nil, err
 	}
+	l.count(address, 1)
+	defer l.count(address, -1)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := newWatch(ctx, client, cancel)
@@ -146,6 +153,37 @@
 	return reply, nil
 }
 
+func (l *link) count(address string, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.busy[address] += n; l.busy[address] == 0 {
+		delete(l.busy, address)
+	}
+}
+
+// busyPeers returns the addresses of the peers that calls are under way to.
+func (l *link) busyPeers() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]string, 0, len(l.busy))
+	for address := range l.busy {
+		out = append(out, address)
+	}
+	return out
+}
+
+// release asks a peer to refuse this daemon's requests that wait there.
+func (l *link) release(address string) error {
+	client, err := l.peers.Get(address)
+	if err != nil {
+		return err
+	}
+	ctx, done := context.WithTimeout(l.base, checkTimeout)
+	defer done()
+	_, err = client.Release(ctx, &wire.ReleaseRequest{SenderInstance: string(l.instance)})
+	return err
+}
+
 // watch checks the peer of a long call from time to time.
 type watch struct {
 	timer   *time.Timer
--- a/guard/attempts.go
+++ b/guard/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
@@ -126,10 +127,20 @@
 			reply.Load = t.report(g.clk.Now())
 		}
 	case <-ctx.Done():
-		setRefusal(reply, fault.Unknown(fault.Canceled, "request ended while it was served"))
+		select {
+		case res := <-done:
+			// It had waited, and is out of the queue at once.
+			setResult(reply, res.answer, res.refusal)
+		case <-time.After(lastWord):
+			setRefusal(reply, fault.Unknown(fault.Canceled, "request ended while it was served"))
+		}
 	}
 }
 
+// lastWord is how long the word of a request that only waited may take after its
+// sender has ended it.
+const lastWord = 20 * time.Millisecond
+
 func goneRefusal(req *wire.ForwardRequest) *fault.Refusal {
 	return fault.NotRun(fault.Draining, "target %s is not here any more: repeat the request", req.GetTarget())
 }
--- a/guard/beat.go
+++ b/guard/beat.go
@@ -51,7 +51,7 @@
 	t.mu.Lock()
 	t.born, t.sequence, t.heard = b.Born, b.Sequence, max(now, 1)
 	drain := b.Draining || g.draining
-	g.leaving = b.Draining
+	g.setLeaving(now, b.Draining)
 	if t.draining != drain {
 		changed = true
 	}
@@ -113,16 +113,29 @@
 	born := t.born
 	t.mu.Unlock()
 	g.gone[id] = tomb{born: born, at: now}
-	g.leaving = true
+	g.setLeaving(now, true)
 	t.setDraining(true)
 	g.log.Info("target leaves", "target", id)
 	return true
 }
 
-// IsLeaving reports whether the last word of a local target was that it
-// leaves. Its instance goes with it, and the callers there.
-func (g *Guard) IsLeaving() bool {
+// setLeaving notes a local target's last word. The caller holds mu.
+func (g *Guard) setLeaving(now clock.Millis, leaving bool) {
+	switch {
+	case !leaving:
+		g.leaving = 0
+	case g.leaving == 0:
+		g.leaving = max(now, 1)
+	}
+}
+
+// LeavingSince returns since when the last word of a local target is that it
+// leaves, 0 if it is not. Its instance goes with it, and the callers there.
+func (g *Guard) LeavingSince() clock.Millis {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
 	return g.leaving
 }
+
+// IsLeaving reports whether a local target leaves.
+func (g *Guard) IsLeaving() bool { return g.LeavingSince() > 0 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -79,8 +79,9 @@
 	targets  map[ident.Target]*target
 	gone     map[ident.Target]tomb
 	draining bool
-	// leaving tells that the last heartbeat was that of a target that leaves.
-	leaving bool
+	// leaving is since when the last word of a local target was that it leaves,
+	// 0 if it was not.
+	leaving clock.Millis
 }
 
 // Deps are what a guard works with.
@@ -191,6 +192,19 @@
 	return out
 }
 
+// Release refuses the requests of a sender that wait for a slot and returns
+// their number. None of them has run or will run.
+func (g *Guard) Release(sender ident.Instance) int {
+	n := 0
+	for _, t := range g.list() {
+		n += t.releaseFrom(sender)
+	}
+	if n > 0 {
+		g.log.Info("waiting requests of a leaving daemon refused", "sender", sender, "count", n)
+	}
+	return n
+}
+
 // Suspects returns the number of local targets that probably fail.
 func (g *Guard) Suspects(now clock.Millis) int {
 	n := 0
--- a/guard/platform_test.go
+++ b/guard/platform_test.go
@@ -396,3 +396,50 @@
 		}
 	})
 }
+
+// TestReleaseEndsTheWaitsOfASender covers a daemon that goes with its instance:
+// its requests that wait are refused as not run, those of others stay.
+func TestReleaseEndsTheWaitsOfASender(t *testing.T) {
+	end := make(chan struct{})
+	f := startTarget(t, func(_, _ int64, c net.Conn) bool {
+		<-end
+		return false
+	})
+	g := attemptGuard(t, clock.NewSystem(), Spec{ID: "t", Service: "svc", Address: f.Addr().String(), Slots: 1})
+	send := func(id, sender string) chan *wire.ForwardReply {
+		out := make(chan *wire.ForwardReply, 1)
+		req := attempt(id, true)
+		req.SenderInstance = sender
+		go func() { out <- g.Forward(context.Background(), req) }()
+		return out
+	}
+	waiting := func(n int) {
+		for g.find("t").running() != 1 || func() bool {
+			target := g.find("t")
+			target.mu.Lock()
+			defer target.mu.Unlock()
+			return target.queue.Waiting() != n
+		}() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	runs := send("a1", "leaver")
+	waiting(0)
+	waits := send("a2", "leaver")
+	waiting(1)
+	other := send("a3", "other")
+	waiting(2)
+	if n := g.Release("leaver"); n != 1 {
+		t.Errorf("%d requests are released, want 1", n)
+	}
+	if r := FromWire((<-waits).GetRefusal()); r.Outcome != ident.OutcomeNotRun {
+		t.Errorf("the waiting request ends with %v", r)
+	}
+	waiting(1)
+	close(end)
+	<-runs
+	<-other
+	if n := f.requests.Load(); n != 2 {
+		t.Errorf("%d requests reached the target, want the running and the other's", n)
+	}
+}
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -48,6 +48,9 @@
 	if objective := clock.Millis(req.GetObjectiveMs()); objective > 0 {
 		job.Start = now + max(objective-t.needs(job.Priority), 1)
 	}
+	if wait := clock.Millis(req.GetWaitMs()); wait > 0 {
+		job.Deadline = min(job.Deadline, now+wait)
+	}
 	spare := clock.Millis(req.GetSpareMs())
 	if spare == 0 {
 		spare = job.Deadline - now
@@ -57,7 +60,7 @@
 			return nil, refusalOf(fault.QueueFull, t.spec.ID).After(wait), false
 		}
 	}
-	if r := t.acquire(ctx, now, job); r != nil {
+	if r := t.acquire(ctx, now, job, ident.Instance(req.GetSenderInstance())); r != nil {
 		return nil, r, false
 	}
 	defer func() { t.release(g.clk.Now()) }()
--- a/guard/target.go
+++ b/guard/target.go
@@ -32,8 +32,8 @@
 	queue    *queue.Queue
 	keeper   *health.Keeper
 	detector *health.Combined
-	// waiters holds a channel for each job that has not started.
-	waiters map[queue.JobID]chan *fault.Refusal
+	// waiters holds the jobs that have not started.
+	waiters map[queue.JobID]waiter
 	lastJob queue.JobID
 	// belief is what the requests say about spells of failures.
 	belief *health.Belief
@@ -56,6 +56,14 @@
 	refreshed clock.Millis
 }
 
+// waiter is a request that waits for a slot.
+type waiter struct {
+	// sender is the daemon that passes the answer on.
+	sender ident.Instance
+	// ready takes nil for a slot, or why there is none.
+	ready chan *fault.Refusal
+}
+
 // refreshEvery is the least time between two requests that are sent again on
 // a fresh connection, in milliseconds.
 const refreshEvery = 200 * clock.Millisecond
@@ -69,13 +77,13 @@
 		queue:    queue.New(s.Slots, cfg.QueueLimit),
 		detector: d,
 		keeper:   health.NewKeeper(d, clk.Now()),
-		waiters:  map[queue.JobID]chan *fault.Refusal{},
+		waiters:  map[queue.JobID]waiter{},
 	}
 }
 
 // acquire waits for a slot. A nil refusal means that the caller holds one and
 // must call release.
-func (t *target) acquire(ctx context.Context, now clock.Millis, j queue.Job) *fault.Refusal {
+func (t *target) acquire(ctx context.Context, now clock.Millis, j queue.Job, sender ident.Instance) *fault.Refusal {
 	t.mu.Lock()
 	if t.draining {
 		t.mu.Unlock()
@@ -84,7 +92,7 @@
 	t.lastJob++
 	j.ID = t.lastJob
 	ready := make(chan *fault.Refusal, 1)
-	t.waiters[j.ID] = ready
+	t.waiters[j.ID] = waiter{sender: sender, ready: ready}
 	t.settle(t.queue.Offer(now, j))
 	t.mu.Unlock()
 	select {
@@ -135,9 +143,23 @@
 }
 
 func (t *target) tell(id queue.JobID, r *fault.Refusal) {
-	ready := t.waiters[id]
+	w := t.waiters[id]
 	delete(t.waiters, id)
-	ready <- r
+	w.ready <- r
+}
+
+// releaseFrom refuses the waiting requests of a sender and returns their number.
+func (t *target) releaseFrom(sender ident.Instance) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for id, w := range t.waiters {
+		if w.sender == sender && t.queue.Cancel(id) {
+			t.tell(id, fault.NotRun(fault.Draining, "the daemon that sent the request leaves: repeat the request at another one"))
+			n++
+		}
+	}
+	return n
 }
 
 func refusalOf(k fault.Kind, id ident.Target) *fault.Refusal {
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -86,6 +86,8 @@
 	// BeatEvery is the time between two heartbeats of a target, in
 	// milliseconds.
 	BeatEvery clock.Millis
+	// LeaveTime is how long a target that leaves still serves, in milliseconds.
+	LeaveTime clock.Millis
 	Rates     Rates
 	Retries   Retries
 
@@ -218,6 +220,7 @@
 	s.Retries.Part = r.fraction("retry", "part", 0.1)
 	s.Retries.Slack = r.fraction("retry", "slack", 10)
 	s.Retries.Window = clock.Millis(r.number("retry", "window_s", 10, 1, 3600)) * clock.Second
+	s.LeaveTime = clock.Millis(r.number("platform", "leave_ms", 2000, 100, 600_000))
 	s.BeatEvery = clock.Millis(r.number("platform", "heartbeat_ms", 1000, 10, 600_000))
 	if s.Adapter == "" {
 		return
