--- a/daemon/ownkey.go
+++ b/daemon/ownkey.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"chestnutlatch/clock"
 	"chestnutlatch/member"
@@ -11,16 +10,7 @@
 
 // keep holds the own key in the store.
 func (f *rosterFleet) keep(ctx context.Context) {
-	tick := time.NewTicker(keepTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f.keepOnce(ctx, f.d.clk.Now())
-		}
-	}
+	every(ctx, keepTick, func() { f.keepOnce(ctx, f.d.clk.Now()) })
 }
 
 func (f *rosterFleet) keepOnce(ctx context.Context, now clock.Millis) {
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -156,18 +156,11 @@
 }
 
 func (s *slots) beat(ctx context.Context) {
-	tick := time.NewTicker(slotTick / 4)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			s.mu.Lock()
-			s.holder.Tick(s.d.clk.Now())
-			s.mu.Unlock()
-		}
-	}
+	every(ctx, slotTick/4, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.holder.Tick(s.d.clk.Now())
+	})
 }
 
 // place works out which slots this daemon should hold.
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -40,16 +40,7 @@
 // endWaits ends the waits of this daemon's requests in time before the instance
 // goes with its target.
 func (d *Daemon) endWaits(ctx context.Context) {
-	tick := time.NewTicker(endWaitsTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			d.entry.EndWaits(d.clk.Now())
-		}
-	}
+	every(ctx, endWaitsTick, func() { d.entry.EndWaits(d.clk.Now()) })
 }
 
 const (
