Daemons that are gone are no rivals for a rate; one threshold for suspects

A daemon counted every other one it had ever heard when it guessed how many decide on a team's requests at once, so that a data centre whose instances are replaced refused more and more (test: seen failing with the life check removed). Three constants said from when failure is more likely than not; one does now.

--- a/choose/best.go
+++ b/choose/best.go
@@ -86,8 +86,8 @@
 	// may look whether a suspect target is well again. A look that fails takes
 	// a retry from the budget.
 	lookOneIn = 4
-	// suspectAt is the suspicion from which failure is more likely than not.
-	suspectAt = 0.5
+	// SuspectAt is the suspicion from which failure is more likely than not.
+	SuspectAt = 0.5
 	// lookUnder is the suspicion under which the last look is old enough for
 	// another one: with the model of spells, a second and a half after it.
 	lookUnder = 0.8
@@ -97,7 +97,7 @@
 // target of the own data centre, where a look costs no way, is well again.
 func (p *Picker) isDueForLook(now clock.Millis, t *target) bool {
 	suspicion := t.suspicionAt(now)
-	return suspicion >= suspectAt && suspicion < lookUnder && p.distance(t) == 0
+	return suspicion >= SuspectAt && suspicion < lookUnder && p.distance(t) == 0
 }
 
 // isKnown reports whether a guard's word on the target is fresh.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,9 +49,6 @@
 	// beatsMissed is the number of heartbeats after which a target is silent;
 	// they may come seconds late.
 	beatsMissed = 6
-	// refuseAt is the suspicion from which a guard sends one-time actions
-	// elsewhere: failure is then more likely than not.
-	refuseAt = 0.5
 	// keepAttempts is how long a one-time request is remembered after its
 	// deadline; copies are not delayed longer than connections live through a
 	// cut.
@@ -211,7 +208,7 @@
 	if d.platform != nil {
 		cfg.Dialect = d.platform.Dialect
 		cfg.AnnounceLife = d.cfg.BeatEvery * beatsMissed
-		cfg.RefuseAt = refuseAt
+		cfg.RefuseAt = choose.SuspectAt
 		cfg.KeepAlive = true
 		deps.Attempts = once.NewAttempts(once.AttemptConfig{
 			Keep: keepAttempts, MaxOpen: d.cfg.MaxTickets, MaxKeptBytes: d.cfg.KeptBytes,
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -36,9 +36,6 @@
 	// fullGuards is the number of full targets after which the request waits:
 	// when several are full, the service is.
 	fullGuards = 3
-	// knownSuspect is the suspicion of a target that is chosen for want of a
-	// better one; its guard takes the request all the same.
-	knownSuspect = 0.5
 	// retryCapacity is what a caller waits for a service without room.
 	retryCapacity = 400 * clock.Millisecond
 )
@@ -220,7 +217,8 @@
 	left := max(objectiveOf(r.route)-(now-r.began), 1)
 	r.out.ObjectiveMs = uint32(left)
 	r.out.SpareMs = uint32(max(left/sparePart, 1))
-	r.out.LastResort = c.Suspicion >= knownSuspect
+	// For want of a better target, its guard takes the request.
+	r.out.LastResort = c.Suspicion >= choose.SuspectAt
 	if t.settled {
 		r.out.SpareMs, r.out.LastResort = 0, true
 	}
--- a/limit/share.go
+++ b/limit/share.go
@@ -56,13 +56,22 @@
 	// unheard is how long the others do not know what a daemon admitted, in
 	// milliseconds: two messages, since one may be lost.
 	unheard = 200 * clock.Millisecond
+	// senderLife is how long a daemon counts after its last message, in
+	// milliseconds; without news it sends one each half second.
+	senderLife = 3 * clock.Second
 )
 
 // rivals is about the number of requests of the team that the data centre's
 // daemons decide on before they hear of each other, this one included. They
 // come to all daemons alike.
 func (s *Shares) rivals(now clock.Millis, b *share) float64 {
-	return 1 + b.recent(now)*float64(len(s.senders))*float64(unheard)/float64(askedSpan)
+	others := 0
+	for _, p := range s.senders {
+		if now-p.at <= senderLife {
+			others++
+		}
+	}
+	return 1 + b.recent(now)*float64(others)*float64(unheard)/float64(askedSpan)
 }
 
 // recent is about the number of own requests in the last askedSpan.
@@ -78,7 +87,9 @@
 
 // sender is what another daemon of the data centre has told.
 type sender struct {
-	inc    ident.Incarnation
+	inc ident.Incarnation
+	// at is when it was last heard.
+	at     clock.Millis
 	counts map[ident.Team]uint64
 }
 
@@ -181,9 +192,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.senders[from]
+	if p != nil {
+		p.at = now
+	}
 	if p == nil || p.inc != inc {
 		fresh := p != nil
-		p = &sender{inc: inc, counts: map[ident.Team]uint64{}}
+		p = &sender{inc: inc, at: now, counts: map[ident.Team]uint64{}}
 		s.senders[from] = p
 		if !fresh {
 			for _, x := range spends {
--- a/limit/share_test.go
+++ b/limit/share_test.go
@@ -170,3 +170,22 @@
 		t.Error("a request was refused after the time told")
 	}
 }
+
+// TestGoneDaemonsAreNoRivals covers a data centre whose instances are replaced:
+// those that are gone decide on no requests any more.
+func TestGoneDaemonsAreNoRivals(t *testing.T) {
+	team := record.Team{ID: "t", Rate: 60, Burst: 60}
+	s := NewShares(0, rand.New(rand.NewPCG(1, 1)), ShareConfig{Parts: 1, Window: 5 * clock.Second}, only(team))
+	for i := range 30 {
+		s.Heard(0, ident.Instance(fmt.Sprint(i)), 1, nil)
+	}
+	refused := 0
+	for now := clock.Millis(10_000); now < 15_000; now += 20 {
+		if _, ok := s.Take(now, team); !ok {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d requests within the rate are refused", refused)
+	}
+}
