standin kv: the platform's store by hand, with its switches

The stand-in of the platform's store could be reached by tests only. The new command serves it for daemons with adapter = kv, takes the operator's document and switches moods, also towards one daemon. Trying it showed that the log gave the cause of a lost store as a number; it gives the word now.

--- a/daemon/words.go
+++ b/daemon/words.go
@@ -26,7 +26,7 @@
 	d.words.mu.Unlock()
 	switch {
 	case changed && lost:
-		d.log.Warn("store lost", "purpose", purpose, "cause", down.Cause, "error", down.Err)
+		d.log.Warn("store lost", "purpose", purpose, "cause", down.Cause.String(), "error", down.Err)
 	case changed:
 		d.log.Info("store regained", "purpose", purpose)
 	case err != nil && !lost:
--- a/rigs/root.go
+++ b/rigs/root.go
@@ -17,6 +17,9 @@
 	}
 	cmd.SetOut(s.Out)
 	cmd.SetErr(s.Err)
-	cmd.AddCommand(NewCmdStore(s, nil), NewCmdTarget(s, nil), NewCmdLoad(s, nil), NewCmdDemo(s, nil), NewCmdTrial(s), NewCmdFill(s, nil))
+	cmd.AddCommand(
+		NewCmdStore(s, nil), NewCmdKV(s, nil), NewCmdTarget(s, nil), NewCmdLoad(s, nil),
+		NewCmdDemo(s, nil), NewCmdTrial(s), NewCmdFill(s, nil),
+	)
 	return cmd
 }
