--- a/limit/size_test.go
+++ b/limit/size_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
+	"chestnutlatch/record"
 )
 
 // heapOf returns the live heap that fn's result holds, in bytes.
@@ -75,3 +77,19 @@
 		})
 	}
 }
+
+// BenchmarkTake spends a team's rate beside daemons of one data centre.
+func BenchmarkTake(b *testing.B) {
+	for _, daemons := range []int{6, 15, 116} {
+		b.Run(fmt.Sprint("daemons ", daemons), func(b *testing.B) {
+			team := record.Team{ID: "t", Rate: 1_000_000, Burst: 1_000_000}
+			s := NewShares(0, rand.New(rand.NewPCG(1, 1)), ShareConfig{Parts: 1, Window: 5 * clock.Second}, only(team))
+			for i := range daemons {
+				s.Heard(0, ident.Instance(fmt.Sprint(i)), 1, nil)
+			}
+			for i := 0; b.Loop(); i++ {
+				s.Take(clock.Millis(i%1000), team)
+			}
+		})
+	}
+}
