--- a/admin/explain/explain.go
+++ b/admin/explain/explain.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"sort"
 	"strings"
@@ -18,6 +19,10 @@
 	"chestnutlatch/cmdkit"
 )
 
+// callMark stands between the id of a request and that of a call that its
+// target makes for it, where callers name them so.
+const callMark = "."
+
 // maxLine bounds one line of a log, in bytes.
 const maxLine = 1 << 20
 
@@ -51,8 +56,9 @@
 	return cmd
 }
 
-// event is one log line of the request.
+// event is one log line of the request, or of a call that its target made.
 type event struct {
+	ID       string         `json:"id"`
 	Time     string         `json:"time"`
 	Instance string         `json:"instance"`
 	Message  string         `json:"message"`
@@ -82,7 +88,7 @@
 	if opts.JSON {
 		return json.NewEncoder(opts.Streams.Out).Encode(events)
 	}
-	return show(opts.Streams.Out, events)
+	return show(opts.Streams.Out, opts.ID, events)
 }
 
 func readFile(name, id string) ([]event, error) {
@@ -107,7 +113,10 @@
 			continue
 		}
 		var fields map[string]any
-		if err := json.Unmarshal([]byte(line[start:]), &fields); err != nil || fields["id"] != id {
+		if err := json.Unmarshal([]byte(line[start:]), &fields); err != nil {
+			continue
+		}
+		if got, _ := fields["id"].(string); got != id && !strings.HasPrefix(got, id+callMark) {
 			continue
 		}
 		out = append(out, toEvent(fields))
@@ -120,6 +129,7 @@
 
 func toEvent(fields map[string]any) event {
 	e := event{Fields: fields}
+	e.ID, _ = fields["id"].(string)
 	e.Time, _ = fields["@timestamp"].(string)
 	e.Instance, _ = fields["instance"].(string)
 	e.Message, _ = fields["@message"].(string)
@@ -129,10 +139,14 @@
 	return e
 }
 
-func show(out io.Writer, events []event) error {
+func show(out io.Writer, id string, events []event) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	for _, e := range events {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", e.Time, e.Instance, e.Message, plain(e.Fields))
+		message := e.Message
+		if e.ID != id {
+			message += " (call " + strings.TrimPrefix(e.ID, id+callMark) + ")"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", e.Time, e.Instance, message, plain(e.Fields))
 		steps, _ := e.Fields["steps"].([]any)
 		for i, step := range steps {
 			fmt.Fprintf(w, "\t\t  %d.\t%v\n", i+1, step)
@@ -141,13 +155,61 @@
 	if err := w.Flush(); err != nil {
 		return errors.Wrap(err, "write")
 	}
-	if last := events[len(events)-1]; last.Fields["kind"] != nil {
-		kind := fmt.Sprint(last.Fields["kind"])
-		fmt.Fprintf(out, "\n%s: %s\n", kind, meaning(kind))
+	if word := verdict(id, events); word != "" {
+		fmt.Fprintf(out, "\n%s\n", word)
 	}
 	return nil
 }
 
+// isEnd reports whether an event is an entry's word on how a request ended.
+func (e event) isEnd() bool {
+	return e.Message == "request refused" || e.Message == "request answered"
+}
+
+// failed reports whether an end is a refusal or a server error, and names it.
+func (e event) failed() (word string, ok bool) {
+	if kind, ok := e.Fields["kind"].(string); ok {
+		return kind, true
+	}
+	status, _ := e.Fields["status"].(float64)
+	return fmt.Sprintf("status %.0f", status), status >= http.StatusInternalServerError
+}
+
+// verdict says what the end of the request means: a refusal's kind, or why its
+// target failed it.
+func verdict(id string, events []event) string {
+	var end *event
+	call := ""
+	for i := range events {
+		e := &events[i]
+		word, failed := e.failed()
+		switch {
+		case !e.isEnd():
+		case e.ID == id:
+			end = e
+		case failed && call == "":
+			call = fmt.Sprintf("%s ended with %s", e.ID, word)
+		}
+	}
+	if end == nil {
+		return ""
+	}
+	word, failed := end.failed()
+	switch {
+	case !failed:
+		return ""
+	case end.Fields["kind"] != nil:
+		return fmt.Sprintf("%s: %s", word, meaning(word))
+	case call != "":
+		return fmt.Sprintf("%s: a call that the target made failed: %s; explain it by its id", word, call)
+	default:
+		return fmt.Sprintf("%s: %s", word, meaning(statusFromTarget))
+	}
+}
+
+// statusFromTarget is the meaning of a server error of the target's own.
+const statusFromTarget = "status"
+
 // plain writes the fields without the steps, which have lines of their own.
 func plain(fields map[string]any) string {
 	names := make([]string, 0, len(fields))
@@ -181,6 +243,7 @@
 	"draining":          "the target was leaving",
 	"home_gone":         "the daemon that had taken the action ended before it answered: whether it ran is unknown",
 	"canceled":          "the caller left, or the daemon stopped",
+	statusFromTarget:    "the last target of the steps failed it itself; its suspicion there tells whether that was known before, and one step of an idempotent request that no retry was left",
 }
 
 func meaning(kind string) string {
--- a/admin/explain/explain_test.go
+++ b/admin/explain/explain_test.go
@@ -19,6 +19,14 @@
 const guardLog = `{"@level":"info","@message":"target failed a request","@timestamp":"2026-01-01T00:00:01Z","id":"a1","instance":"i2","target":"t1","status":500,"suspicion":0.91}
 `
 
+const callLog = `{"@level":"info","@message":"request answered","@timestamp":"2026-01-01T00:00:03Z","id":"b1","instance":"i1","status":500,"steps":["t1@i2(0.10)=500/9ms"]}
+{"@level":"info","@message":"request answered","@timestamp":"2026-01-01T00:00:02Z","id":"b1.c7","instance":"i2","status":500}
+{"@level":"info","@message":"request answered","@timestamp":"2026-01-01T00:00:03Z","id":"b2","instance":"i1","status":500,"steps":["t1@i2(0.10)=500/9ms"]}
+{"@level":"info","@message":"target failed a request","@timestamp":"2026-01-01T00:00:04Z","id":"b2","instance":"i2","status":500}
+{"@level":"info","@message":"request answered","@timestamp":"2026-01-01T00:00:03Z","id":"b3","instance":"i1","status":200}
+{"@level":"info","@message":"request answered","@timestamp":"2026-01-01T00:00:03Z","id":"b33","instance":"i1","status":500}
+`
+
 func TestExplain(t *testing.T) {
 	dir := t.TempDir()
 	entry, guard := filepath.Join(dir, "entry.log"), filepath.Join(dir, "guard.log")
@@ -39,6 +47,11 @@
 		}, ""},
 		{"standard input", Options{ID: "a2"}, entryLog, []string{"over_rate: the team's part"}, ""},
 		{"JSON", Options{ID: "a1", JSON: true}, guardLog, []string{`"instance":"i2"`, `"suspicion":0.91`}, ""},
+		{"a call that failed", Options{ID: "b1"}, callLog, []string{
+			"request answered (call c7)", "status 500: a call that the target made failed: b1.c7 ended with status 500",
+		}, ""},
+		{"a target that failed", Options{ID: "b2"}, callLog, []string{"target failed a request", "status 500: the last target of the steps"}, ""},
+		{"a success", Options{ID: "b3"}, callLog, []string{"status=200\n"}, ""},
 		{"no such request", Options{ID: "a"}, entryLog, nil, "no line names request"},
 		{"no such file", Options{ID: "a1", Files: []string{filepath.Join(dir, "none")}}, "", nil, "name a readable one"},
 	}
