entry: one check of a peer, one word on leaving

The check of a long call and that of a failed path asked the same question with copies of the same lines, and two places of leave.go repeated when a daemon counts as leaving. Behaviour stays.

--- a/entry/leave.go
+++ b/entry/leave.go
@@ -15,8 +15,8 @@
 // its target has been leaving for the leave time: what has not started by then
 // may not end before the instance goes. What runs is left alone.
 func (e *Entry) EndWaits(now clock.Millis) {
-	since := e.Guard.LeavingSince()
-	if e.LeaveTime == 0 || since == 0 || now-since < e.LeaveTime {
+	since := e.leavingSince()
+	if since == 0 || now-since < e.LeaveTime {
 		return
 	}
 	e.Guard.Release(e.Instance)
@@ -30,9 +30,18 @@
 // waitOf returns the longest wait for a slot of a request that is sent now, 0 if
 // its deadline bounds it.
 func (e *Entry) waitOf(now clock.Millis) clock.Millis {
-	since := e.Guard.LeavingSince()
-	if e.LeaveTime == 0 || since == 0 {
+	since := e.leavingSince()
+	if since == 0 {
 		return 0
 	}
 	return max(since+e.LeaveTime-now, e.LeaveTime/lastWait)
 }
+
+// leavingSince is since when this daemon leaves with its target, 0 if it does
+// not.
+func (e *Entry) leavingSince() clock.Millis {
+	if e.LeaveTime == 0 {
+		return 0
+	}
+	return e.Guard.LeavingSince()
+}
--- a/entry/link.go
+++ b/entry/link.go
@@ -117,10 +117,15 @@
 	if err != nil {
 		return false
 	}
-	ctx, done := context.WithTimeout(l.base, checkTimeout)
+	return check(l.base, client) == nil
+}
+
+// check asks whether a peer itself answers.
+func check(ctx context.Context, client wire.InnerClient) error {
+	ctx, done := context.WithTimeout(ctx, checkTimeout)
 	defer done()
-	_, err = client.Ping(ctx, &wire.PingRequest{})
-	return err == nil
+	_, err := client.Ping(ctx, &wire.PingRequest{})
+	return err
 }
 
 // stamp numbers the request, so that its answer can be told from others.
@@ -193,9 +198,7 @@
 func newWatch(ctx context.Context, client wire.InnerClient, cancel context.CancelCauseFunc) *watch {
 	w := &watch{}
 	w.timer = time.AfterFunc(checkAfter, func() {
-		check, done := context.WithTimeout(ctx, checkTimeout)
-		_, err := client.Ping(check, &wire.PingRequest{})
-		done()
+		err := check(ctx, client)
 		if w.stopped.Load() || ctx.Err() != nil {
 			return
 		}
