guard: the forgetful target of the test reads the clock before it answers

The test's target wrote its answer and read the clock after it; the test moves the clock as soon as the answer is there, so the rest was sometimes counted from the later time and the connection was kept. Ruled out: the product's pool. It used the connection as it should, the target served it. Conclusion: a fault of the test alone; its checks and bounds stay.

--- a/guard/forget_test.go
+++ b/guard/forget_test.go
@@ -85,9 +85,10 @@
 		if _, err := http.ReadRequest(r); err != nil || clk.Now()-last > 300 {
 			return
 		}
+		// The clock is read first: once the answer is out, the test moves it.
+		last = clk.Now()
 		if _, err := c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")); err != nil {
 			return
 		}
-		last = clk.Now()
 	}
 }
