Operators' limits on callers: heads, their time, rests

Cause: of the operator's four limits only the body's was applied. A daemon that took its configuration from a peer had no limits at all, and an older document's limits could replace newer ones, since they did not travel with the records. A caller's connection has its own pace: rest, head, body each under the limit in force, a dripped head gains nothing with each byte. A head that comes too late is slow_request with 408, counted apart from malformed ones. The watch for callers that go away looks through wrapped connections, TLS included.

--- a/config/document.go
+++ b/config/document.go
@@ -5,19 +5,12 @@
 	"chestnutlatch/record"
 )
 
-// Limits bound what a caller may send.
-type Limits struct {
-	// BodyBytes is the largest body of a request; 0 leaves the setting in
-	// force.
-	BodyBytes int
-}
-
 // Document is a whole configuration that the platform's operators keep as one
 // value, read and checked.
 type Document struct {
 	Revision ident.Revision
 	Records  []record.Body
-	Limits   Limits
+	Limits   record.CallerLimits
 }
 
 // DocumentSource says where a document lies and how to read it.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -43,9 +43,6 @@
 	// hardBodyFactor times max_request_bytes is what is read of a body that is
 	// too large, so that its sender gets an answer and not a reset.
 	hardBodyFactor = 4
-	// maxHead is the largest head of a request on a platform, in bytes; the
-	// product's own interface has the HTTP library's 4 KiB.
-	maxHead = 64 << 10
 	// beatsMissed is the number of heartbeats after which a target is silent;
 	// they may come seconds late.
 	beatsMissed = 6
@@ -253,25 +250,15 @@
 		NoDefaultDate:         d.platform != nil,
 		ReadBufferSize:        head,
 		MaxRequestBodySize:    hardBodyFactor * d.cfg.MaxRequestBytes,
-		ReadTimeout:           d.cfg.ReadTimeout.Duration(),
-		IdleTimeout:           time.Minute,
 		Concurrency:           d.cfg.MaxCallers,
 		CloseOnShutdown:       true,
 		Logger:                callerLog{d.log},
 	}
 }
 
-// limitsOf returns the bounds of a request whose head was read. A zero field
-// leaves the server's own in force.
+// limitsOf returns the bounds on the body of a request whose head was read.
 func (d *Daemon) limitsOf(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	if d.docs == nil {
-		return fasthttp.RequestConfig{}
-	}
-	most := hardBodyFactor * d.cfg.MaxRequestBytes
-	if body := d.docs.limits.Load().BodyBytes; body > 0 {
-		most = min(most, body)
-	}
-	return fasthttp.RequestConfig{MaxRequestBodySize: most}
+	return fasthttp.RequestConfig{MaxRequestBodySize: d.callerLimits().BodyBytes, ReadTimeout: d.cfg.ReadTimeout.Duration()}
 }
 
 // handle serves a caller. During a planned stop it tells callers to connect
@@ -342,11 +329,12 @@
 	}
 	go run("inner server", func() error { return d.inner.Serve(l.inner) })
 	go run("operator server", func() error { return d.operator.Serve(l.operator) })
+	callers := &callerListener{Listener: l.callers, d: d}
 	go run("caller server", func() error {
 		if d.cfg.CallerCert != "" {
-			return d.callers.ServeTLS(l.callers, d.cfg.CallerCert, d.cfg.CallerKey)
+			return d.callers.ServeTLS(callers, d.cfg.CallerCert, d.cfg.CallerKey)
 		}
-		return d.callers.Serve(l.callers)
+		return d.callers.Serve(callers)
 	})
 	go d.tickGuard(ctx)
 	if d.platform != nil {
--- a/daemon/docs.go
+++ b/daemon/docs.go
@@ -9,7 +9,6 @@
 	"github.com/go-faster/errors"
 
 	"chestnutlatch/clock"
-	"chestnutlatch/config"
 	"chestnutlatch/ident"
 	"chestnutlatch/member"
 	"chestnutlatch/store"
@@ -37,9 +36,8 @@
 // docs keeps the table up to a configuration that the operators hold as one
 // document in the store.
 type docs struct {
-	d      *Daemon
-	limits atomic.Pointer[config.Limits]
-	hints  chan string
+	d     *Daemon
+	hints chan string
 	// aheadOf is the highest revision that a peer told of.
 	aheadOf atomic.Uint64
 	// introduced is the failing since which this daemon introduced itself; used
@@ -50,9 +48,7 @@
 }
 
 func newDocs(d *Daemon) *docs {
-	s := &docs{d: d, hints: make(chan string, hintDepth)}
-	s.limits.Store(&config.Limits{})
-	return s
+	return &docs{d: d, hints: make(chan string, hintDepth)}
 }
 
 func (s *docs) run(ctx context.Context) {
@@ -113,8 +109,7 @@
 		b.Put(r)
 	}
 	b.SetRevision(doc.Revision)
-	limits := doc.Limits
-	s.limits.Store(&limits)
+	b.SetCallerLimits(doc.Limits)
 	s.install(b, doc.Revision, "store")
 }
 
--- a/daemon/inner.go
+++ b/daemon/inner.go
@@ -74,6 +74,6 @@
 // Snapshot implements wire.InnerServer.
 func (s *innerServer) Snapshot(_ *wire.SnapshotRequest, stream wire.Inner_SnapshotServer) error {
 	return s.d.table.Snapshot(func(rev ident.Revision, chunk []byte) error {
-		return stream.Send(&wire.SnapshotChunk{Revision: uint64(rev), Records: chunk})
+		return stream.Send(&wire.SnapshotChunk{Revision: uint64(rev), Records: chunk, Limits: limitsToWire(s.d.table.CallerLimits())})
 	})
 }
--- a/daemon/syncer.go
+++ b/daemon/syncer.go
@@ -233,6 +233,7 @@
 		if err := b.Add(ident.Revision(chunk.GetRevision()), chunk.GetRecords()); err != nil {
 			return nil, err
 		}
+		b.SetCallerLimits(limitsFromWire(chunk.GetLimits()))
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -190,6 +190,10 @@
 		return nil, certainOnlyWithout(ticket, fault.NotRun(fault.TooLarge,
 			"request body has %d bytes, max_request_bytes is %d: send less", n, e.MaxBody))
 	}
+	if most := e.Table.CallerLimits().HeadBytes; most > 0 && sizeOfHead(c) > most {
+		return nil, certainOnlyWithout(ticket, fault.NotRun(fault.TooLarge,
+			"request head has %d bytes, the limit is %d: send fewer or shorter headers", sizeOfHead(c), most))
+	}
 	path, refusal := e.sentPath(c)
 	if refusal != nil {
 		return nil, certainOnlyWithout(ticket, refusal)
--- a/entry/http.go
+++ b/entry/http.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"encoding/json"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
 	"chestnutlatch/clock"
@@ -57,6 +59,12 @@
 	return string(v[len(bearer):])
 }
 
+// sizeOfHead is the length of a request's head as it was sent.
+func sizeOfHead(c *fasthttp.RequestCtx) int {
+	h := &c.Request.Header
+	return len(h.Method()) + len(" ") + len(h.RequestURI()) + len(" HTTP/1.1\r\n") + len(h.RawHeaders())
+}
+
 // sentPath returns the path as the caller sent it. What selects the route must
 // be what reaches the target.
 func (e *Entry) sentPath(c *fasthttp.RequestCtx) (string, *fault.Refusal) {
@@ -169,19 +177,24 @@
 func (e *Entry) statusOf(r *fault.Refusal) int {
 	status := r.Status()
 	switch {
-	case !e.byAttempt() || status < fasthttp.StatusInternalServerError && status != fasthttp.StatusTooManyRequests && r.Kind != fault.Canceled:
+	case !e.byAttempt() || status < fasthttp.StatusInternalServerError && !isPromise(status) && r.Kind != fault.Canceled:
 		return status
 	case r.Outcome == ident.OutcomeUnknown && r.Kind == fault.DeadlineExceeded:
 		return fasthttp.StatusGatewayTimeout
 	case r.Outcome == ident.OutcomeUnknown:
 		return fasthttp.StatusBadGateway
-	case status == fasthttp.StatusTooManyRequests:
+	case isPromise(status):
 		return status
 	default:
 		return fasthttp.StatusServiceUnavailable
 	}
 }
 
+// isPromise reports whether a status under 500 says that nothing has run.
+func isPromise(status int) bool {
+	return status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusRequestTimeout
+}
+
 // OnError answers requests that could not be read.
 func (e *Entry) OnError(c *fasthttp.RequestCtx, err error) {
 	r := fault.NotRun(fault.Malformed, "request cannot be read: send valid HTTP/1.1 in time")
@@ -189,8 +202,11 @@
 	case *fasthttp.ErrSmallBuffer:
 		r = fault.NotRun(fault.TooLarge, "request headers are too large: send fewer or shorter ones")
 	default:
-		if err == fasthttp.ErrBodyTooLarge { //nolint:errorlint // as above
-			r = fault.NotRun(fault.TooLarge, "request body is over max_request_bytes: send less")
+		switch {
+		case err == fasthttp.ErrBodyTooLarge: //nolint:errorlint // as above
+			r = fault.NotRun(fault.TooLarge, "request body is over the limit: send less")
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			r = fault.NotRun(fault.SlowRequest, "request did not arrive in time: send it without pauses")
 		}
 	}
 	drain(c.Conn())
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -41,6 +41,7 @@
 	Canceled
 	Suspect
 	Shed
+	SlowRequest
 )
 
 // statuses maps each kind to its HTTP status.
@@ -70,6 +71,7 @@
 	Canceled:         499,
 	Suspect:          503,
 	Shed:             503,
+	SlowRequest:      408,
 }
 
 // Refusal is the answer to a request that was not served.
--- a/fault/fault_enumer.go
+++ b/fault/fault_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "unknown_keyno_routemalformedtoo_largeover_raterate_unavailableno_capacityqueue_fulldeadline_exceededtarget_failedhalf_answeranswer_too_largepath_faileddrainingticket_requiredticket_invalidticket_expiredticket_voidticket_table_fullhome_goneanswer_droppednot_readycanceledsuspectshed"
+const _KindName = "unknown_keyno_routemalformedtoo_largeover_raterate_unavailableno_capacityqueue_fulldeadline_exceededtarget_failedhalf_answeranswer_too_largepath_faileddrainingticket_requiredticket_invalidticket_expiredticket_voidticket_table_fullhome_goneanswer_droppednot_readycanceledsuspectshedslow_request"
 
-var _KindIndex = [...]uint16{0, 11, 19, 28, 37, 46, 62, 73, 83, 100, 113, 124, 140, 151, 159, 174, 188, 202, 213, 230, 239, 253, 262, 270, 277, 281}
+var _KindIndex = [...]uint16{0, 11, 19, 28, 37, 46, 62, 73, 83, 100, 113, 124, 140, 151, 159, 174, 188, 202, 213, 230, 239, 253, 262, 270, 277, 281, 293}
 
-const _KindLowerName = "unknown_keyno_routemalformedtoo_largeover_raterate_unavailableno_capacityqueue_fulldeadline_exceededtarget_failedhalf_answeranswer_too_largepath_faileddrainingticket_requiredticket_invalidticket_expiredticket_voidticket_table_fullhome_goneanswer_droppednot_readycanceledsuspectshed"
+const _KindLowerName = "unknown_keyno_routemalformedtoo_largeover_raterate_unavailableno_capacityqueue_fulldeadline_exceededtarget_failedhalf_answeranswer_too_largepath_faileddrainingticket_requiredticket_invalidticket_expiredticket_voidticket_table_fullhome_goneanswer_droppednot_readycanceledsuspectshedslow_request"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -49,9 +49,10 @@
 	_ = x[Canceled-(22)]
 	_ = x[Suspect-(23)]
 	_ = x[Shed-(24)]
+	_ = x[SlowRequest-(25)]
 }
 
-var _KindValues = []Kind{UnknownKey, NoRoute, Malformed, TooLarge, OverRate, RateUnavailable, NoCapacity, QueueFull, DeadlineExceeded, TargetFailed, HalfAnswer, AnswerTooLarge, PathFailed, Draining, TicketRequired, TicketInvalid, TicketExpired, TicketVoid, TicketTableFull, HomeGone, AnswerDropped, NotReady, Canceled, Suspect, Shed}
+var _KindValues = []Kind{UnknownKey, NoRoute, Malformed, TooLarge, OverRate, RateUnavailable, NoCapacity, QueueFull, DeadlineExceeded, TargetFailed, HalfAnswer, AnswerTooLarge, PathFailed, Draining, TicketRequired, TicketInvalid, TicketExpired, TicketVoid, TicketTableFull, HomeGone, AnswerDropped, NotReady, Canceled, Suspect, Shed, SlowRequest}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:11]:    UnknownKey,
@@ -79,6 +80,7 @@
 	_KindName[262:270]: Canceled,
 	_KindName[270:277]: Suspect,
 	_KindName[277:281]: Shed,
+	_KindName[281:293]: SlowRequest,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -107,6 +109,7 @@
 	_KindLowerName[262:270]: Canceled,
 	_KindLowerName[270:277]: Suspect,
 	_KindLowerName[277:281]: Shed,
+	_KindLowerName[281:293]: SlowRequest,
 }
 
 var _KindNames = []string{
@@ -135,6 +138,7 @@
 	_KindName[262:270],
 	_KindName[270:277],
 	_KindName[277:281],
+	_KindName[281:293],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/record/record.go
+++ b/record/record.go
@@ -134,6 +134,21 @@
 func (Target) kind() Kind  { return KindTarget }
 func (Service) kind() Kind { return KindService }
 
+// CallerLimits are the operators' bounds on callers. They are part of a
+// configuration but no record. A field of 0 leaves the daemon's own bound in
+// force.
+type CallerLimits struct {
+	// HeadBytes and BodyBytes bound a request's head and body.
+	HeadBytes int
+	BodyBytes int
+	// HeadTime bounds the reading of a head, in milliseconds from its first
+	// byte.
+	HeadTime clock.Millis
+	// IdleTime is how long a connection may rest between two requests, in
+	// milliseconds.
+	IdleTime clock.Millis
+}
+
 // KindOf returns the kind of a body.
 func KindOf(b Body) Kind {
 	return b.kind()
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -23,9 +23,16 @@
 	Closed
 )
 
-// Look returns the state of a TCP connection. Connections of other kinds count
-// as Quiet.
+// Look returns the state of a TCP connection, also of one that another kind of
+// connection wraps. Connections of other kinds count as Quiet.
 func Look(c net.Conn) State {
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = outer.NetConn()
+	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return Quiet
--- a/table/snap.go
+++ b/table/snap.go
@@ -97,6 +97,9 @@
 // Put adds a record that was read and checked elsewhere.
 func (b *Builder) Put(body record.Body) { b.table.insert(body, nil) }
 
+// SetCallerLimits sets the bounds on callers.
+func (b *Builder) SetCallerLimits(l record.CallerLimits) { b.table.content.Load().limits = l }
+
 // Revision returns the revision of the records added so far.
 func (b *Builder) Revision() ident.Revision { return b.rev }
 
--- a/table/table.go
+++ b/table/table.go
@@ -38,6 +38,8 @@
 	shards [kindCount][shardCount]shard
 	// hosts finds routes by host and prefix.
 	hosts hostIndex
+	// limits do not change once the content is in force.
+	limits record.CallerLimits
 }
 
 func newContent() *content {
@@ -97,6 +99,11 @@
 	return ident.Revision(t.revision.Load())
 }
 
+// CallerLimits returns the bounds on callers that are in force.
+func (t *Table) CallerLimits() record.CallerLimits {
+	return t.content.Load().limits
+}
+
 // GapError reports a change that does not follow the table's revision.
 type GapError struct {
 	Have ident.Revision
