daemon: a watch on a silent store is given up

Cause: the watch of the configuration waits 22 s for its answer and peers are asked only when it has failed. With a store that takes calls and never answers, a daemon alone in its data centre honoured a withdrawn key all that time. The test for it passed for a wrong reason: the store's stand-in delivered the change to watches that its new mood had ended.

--- a/daemon/docs.go
+++ b/daemon/docs.go
@@ -45,6 +45,20 @@
 	introduced int64
 	// failing is since when the store does not answer, 0 if it does.
 	failing atomic.Int64
+	// endWatch ends the watch under way; nil without one.
+	endWatch atomic.Pointer[context.CancelFunc]
+}
+
+// errDoubted reports a watch that was given up because other calls to the store
+// got no answer.
+var errDoubted = errors.New("store does not answer other calls")
+
+// doubt gives up the watch: on a connection that went silent it would hear of
+// nothing for its whole time.
+func (s *docs) doubt() {
+	if end := s.endWatch.Load(); end != nil {
+		(*end)()
+	}
 }
 
 func newDocs(d *Daemon) *docs {
@@ -56,6 +70,9 @@
 	pause := docRetry
 	for ctx.Err() == nil {
 		err := s.follow(ctx, func() { pause = docRetry })
+		if errors.Is(err, errDoubted) {
+			continue
+		}
 		s.d.storeWord("follow configuration", err)
 		var compacted *store.CompactedError
 		if errors.As(err, &compacted) {
@@ -85,11 +102,19 @@
 	for _, e := range entries {
 		s.take(e)
 	}
-	return s.d.store.Watch(ctx, key, at, func(ev store.Event) {
+	watch, end := context.WithCancel(ctx)
+	defer end()
+	s.endWatch.Store(&end)
+	defer s.endWatch.Store(nil)
+	err = s.d.store.Watch(watch, key, at, func(ev store.Event) {
 		if !ev.Removed {
 			s.take(ev.Entry)
 		}
 	})
+	if watch.Err() != nil && ctx.Err() == nil {
+		return errDoubted
+	}
+	return err
 }
 
 // take puts a document in force if it is newer. One that cannot be read
--- a/daemon/words.go
+++ b/daemon/words.go
@@ -27,6 +27,9 @@
 	switch {
 	case changed && lost:
 		d.log.Warn("store lost", "purpose", purpose, "cause", down.Cause.String(), "error", down.Err)
+		if d.docs != nil {
+			d.docs.doubt()
+		}
 	case changed:
 		d.log.Info("store regained", "purpose", purpose)
 	case err != nil && !lost:
