Stand-ins of the platform as processes; status of a platform's daemons

The stand-in of the store could be run by hand, targets and callers not: only the tests in platform/ had such targets, in one process. Found on the way: /v1/status listed the product's own membership, which is empty on a platform; it lists the daemons found in the store now. Seen failing: TestPlatformAcrossProcesses waits in vain for members without it. Ruled out: repeating an action of unknown outcome under its id through another daemon; nobody answers for a run at a target that the second daemon did not ask.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -108,6 +108,8 @@
 type fleet interface {
 	entry.Fleet
 	count() int
+	// known returns all daemons, this one included.
+	known() []*member.Member
 	setTargets(targets []member.Target)
 	tellVitals(list []member.Vital)
 	leave()
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -207,8 +207,8 @@
 	return len(m.view.Members())
 }
 
-// list returns all records.
-func (m *members) list() []*member.Member {
+// known returns all records.
+func (m *members) known() []*member.Member {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.view.Members()
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -120,7 +120,7 @@
 		RateSlots: d.slots.count(), TicketsOpen: open,
 	}
 	now := d.clk.Now()
-	for _, m := range d.members.list() {
+	for _, m := range d.fleet.known() {
 		ms := MemberStatus{
 			Instance: m.Instance, DataCentre: m.DataCentre, Region: m.Region,
 			Status: m.Status.String(), PathBad: d.picker.IsPathBad(now, m.Instance),
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -288,6 +288,16 @@
 	return out
 }
 
+// known returns this daemon as it knows itself, and the others.
+func (f *rosterFleet) known() []*member.Member {
+	self := f.own()
+	out := []*member.Member{&self}
+	for _, m := range f.others(func(*member.Member) bool { return true }) {
+		out = append(out, &m)
+	}
+	return out
+}
+
 // shuffle puts daemons into random order.
 func (f *rosterFleet) shuffle(list []member.Member) {
 	f.mu.Lock()
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -174,7 +174,7 @@
 	}
 	regions := map[ident.Region][]ident.Instance{}
 	dark := s.d.members.dark(now)
-	for _, m := range s.d.members.list() {
+	for _, m := range s.d.members.known() {
 		if m.Status == member.StatusAlive && !dark[m.DataCentre] {
 			regions[m.Region] = append(regions[m.Region], m.Instance)
 		}
--- a/fleet/demo.go
+++ b/fleet/demo.go
@@ -1,13 +1,19 @@
 package fleet
 
 import (
+	"crypto/rand"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 
 	"github.com/go-faster/errors"
 
+	"chestnutlatch/clock"
+	"chestnutlatch/ident"
 	"chestnutlatch/load"
+	"chestnutlatch/platform"
+	"chestnutlatch/record"
 	"chestnutlatch/stand"
 )
 
@@ -20,47 +26,77 @@
 
 // demoTeam is a team of the demonstration.
 type demoTeam struct {
-	name  string
-	rate  string
-	burst string
-	load  float64
+	name ident.Team
+	// rate is in requests per second, and the burst in requests.
+	rate uint32
+	load float64
 }
 
-var demoTeams = []demoTeam{
-	{"makola", "200", "200", 60},
-	{"kejetia", "200", "200", 60},
-	{"tamale", "50", "50", 15},
-	{"bolga", "50", "50", 15},
+func demoTeams() []demoTeam {
+	return []demoTeam{{"makola", 200, 60}, {"kejetia", 200, 60}, {"tamale", 50, 15}, {"bolga", 50, 15}}
 }
 
+func demoRoutes() []record.Route {
+	return []record.Route{
+		{ID: "status", Prefix: "/status", Service: serviceStatus, Priority: ident.PriorityLow, Timeout: demoTimeout},
+		{ID: "bookings", Prefix: "/bookings", Service: serviceDispatch, OneTime: true, Priority: ident.PriorityNormal, Timeout: demoTimeout},
+		{ID: "vouchers", Prefix: "/vouchers", Service: serviceStores, OneTime: true, Priority: ident.PriorityHigh, Timeout: demoTimeout},
+	}
+}
+
+// demoTimeout is the time limit of the demonstration's routes, in milliseconds.
+const demoTimeout = 5 * clock.Second
+
 // Configure applies the demonstration's records and returns the teams with
 // their keys.
 func (f *Fleet) Configure() ([]load.Team, error) {
-	routes := [][]string{
-		{"status", "--prefix", "/status", "--service", serviceStatus, "--priority", "low"},
-		{"bookings", "--prefix", "/bookings", "--service", serviceDispatch, "--one-time"},
-		{"vouchers", "--prefix", "/vouchers", "--service", serviceStores, "--one-time", "--priority", "high"},
+	if f.spec.Adapter != "" {
+		return f.configurePlatform()
 	}
-	for _, r := range routes {
-		args := append([]string{"route", "set"}, r...)
-		if _, err := f.Operator(append(args, "--timeout", "5s", "--wait", "0")...); err != nil {
+	for _, r := range demoRoutes() {
+		args := []string{
+			"route", "set", string(r.ID), "--prefix", r.Prefix, "--service", string(r.Service), "--priority", r.Priority.String(),
+			"--timeout", r.Timeout.Duration().String(), "--wait", "0",
+		}
+		if r.OneTime {
+			args = append(args, "--one-time")
+		}
+		if _, err := f.Operator(args...); err != nil {
 			return nil, err
 		}
 	}
 	var out []load.Team
-	for _, t := range demoTeams {
-		if _, err := f.Operator("team", "set", t.name, "--rate", t.rate, "--burst", t.burst, "--wait", "0"); err != nil {
+	for _, t := range demoTeams() {
+		rate := fmt.Sprint(t.rate)
+		if _, err := f.Operator("team", "set", string(t.name), "--rate", rate, "--burst", rate, "--wait", "0"); err != nil {
 			return nil, err
 		}
-		key, err := f.IssueKey(t.name)
+		key, err := f.IssueKey(string(t.name))
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, load.Team{Name: t.name, Key: key, Rate: t.load})
+		out = append(out, load.Team{Name: string(t.name), Key: key, Rate: t.load})
 	}
 	return out, nil
 }
 
+// configurePlatform writes the demonstration's records as the platform's
+// operators do.
+func (f *Fleet) configurePlatform() ([]load.Team, error) {
+	var teams []platform.KeyedTeam
+	var out []load.Team
+	for _, t := range demoTeams() {
+		key := rand.Text()
+		teams = append(teams, platform.KeyedTeam{Team: record.Team{ID: t.name, Rate: t.rate, Burst: t.rate}, Keys: []string{key}})
+		out = append(out, load.Team{Name: string(t.name), Key: key, Rate: t.load})
+	}
+	doc, err := platform.WriteDocument(1, demoRoutes(), teams, record.CallerLimits{})
+	if err != nil {
+		return nil, err
+	}
+	return out, PutJSON(f.Store.Control, "/document", json.RawMessage(doc))
+}
+
 // IssueKey issues a key for a team.
 func (f *Fleet) IssueKey(team string) (string, error) {
 	text, err := f.Operator("key", "issue", "--team", team, "--json", "--wait", "0")
@@ -90,14 +126,26 @@
 	return []string{serviceStatus, serviceDispatch, serviceStores}
 }
 
-// WriteDemo writes demo.json: every process, and one key for each team.
+// Dialect sets in a load what callers of a platform send; an empty adapter
+// changes nothing.
+func Dialect(cfg load.Config, adapter string) load.Config {
+	if adapter != "" {
+		d := platform.Adapter().Dialect
+		cfg.Attempt, cfg.Remaining = d.Attempt, d.Timeout
+	}
+	return cfg
+}
+
+// WriteDemo writes demo.json: every process, one key for each team, and the
+// platform's adapter.
 func (f *Fleet) WriteDemo(dir string, teams []load.Team) error {
 	all := append([]*Process{f.Store}, f.Targets...)
 	all = append(all, f.Daemons...)
 	body, err := json.MarshalIndent(struct {
 		Processes []*Process  `json:"processes"`
 		Teams     []load.Team `json:"teams"`
-	}{all, teams}, "", "  ")
+		Adapter   string      `json:"adapter,omitempty"`
+	}{all, teams, f.spec.Adapter}, "", "  ")
 	if err != nil {
 		return err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,6 +33,11 @@
 	Slots      int
 	WorkMillis int
 	RateSlots  int
+	// Adapter names the platform that the deployment stands on; empty is the
+	// product's own interface.
+	Adapter string
+	// LogLevels are given to the daemons in turn; none is info.
+	LogLevels []string
 }
 
 // Role tells the processes apart.
@@ -102,7 +107,11 @@
 		return err
 	}
 	f.Store = &Process{Role: RoleStore, Name: "store", Address: ports[0], Control: ports[1]}
-	f.Store.args = []string{"standin", "store", "--address", ports[0], "--control", ports[1]}
+	kind := "store"
+	if f.spec.Adapter != "" {
+		kind = f.spec.Adapter
+	}
+	f.Store.args = []string{"standin", kind, "--address", ports[0], "--control", ports[1]}
 	if err := f.spawn(f.Store); err != nil {
 		return err
 	}
@@ -122,7 +131,7 @@
 
 // startPair starts a target and the daemon beside it.
 func (f *Fleet) startPair(region ident.Region, dc ident.DataCentre, n int) error {
-	ports, err := f.freePorts(6)
+	ports, err := f.freePorts(8)
 	if err != nil {
 		return err
 	}
@@ -138,7 +147,10 @@
 		"--control", ports[1], "--announce", ports[5], "--slots", fmt.Sprint(f.spec.Slots),
 		"--work", fmt.Sprintf("%dms", f.spec.WorkMillis), "--seed", fmt.Sprint(i + 1),
 	}
-	d := &Process{Role: RoleDaemon, Name: "daemon-" + name, Address: ports[2], Control: ports[5], DataCentre: dc, Region: region}
+	if f.spec.Adapter != "" {
+		t.args = append(t.args, "--adapter", f.spec.Adapter, "--data-centre", string(dc), "--announce", ports[7])
+	}
+	d := &Process{Role: RoleDaemon, Name: "daemon-" + name, Address: ports[2], Control: ports[5], DataCentre: dc, Region: region, Service: service}
 	file, err := f.writeSettings(d, name, ports)
 	if err != nil {
 		return err
@@ -163,17 +175,47 @@
 member_address = %s
 operator_address = %s
 fleet_secret = %s
-log_level = info
+log_level = %s
 
 [store]
 address = %s
 
 [rate]
 slots = %d
-`, name, d.DataCentre, d.Region, ports[2], ports[3], ports[4], ports[5], fleetSecret, f.Store.Address, f.spec.RateSlots)
+%s`, name, d.DataCentre, d.Region, ports[2], ports[3], ports[4], ports[5], fleetSecret, f.logLevel(), f.Store.Address, f.spec.RateSlots, f.onPlatform(d, ports))
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
 
+// logLevel returns the next daemon's level.
+func (f *Fleet) logLevel() string {
+	if len(f.spec.LogLevels) == 0 {
+		return "info"
+	}
+	return f.spec.LogLevels[len(f.Daemons)%len(f.spec.LogLevels)]
+}
+
+// onPlatform returns a daemon's settings for the platform.
+func (f *Fleet) onPlatform(d *Process, ports []string) string {
+	if f.spec.Adapter == "" {
+		return ""
+	}
+	var dcs []string
+	for r := range f.spec.Regions {
+		for c := range f.spec.CentresPerRegion {
+			dcs = append(dcs, fmt.Sprintf("region-%d-dc-%d", r+1, c+1))
+		}
+	}
+	return fmt.Sprintf(`data_centres = %s
+
+[platform]
+adapter = %s
+ready_address = %s
+announce_address = %s
+service = %s
+heartbeat_ms = 1000
+`, strings.Join(dcs, ","), f.spec.Adapter, ports[6], ports[7], d.Service)
+}
+
 // spawn starts a process and logs its output to a file of its own.
 func (f *Fleet) spawn(p *Process) error {
 	log, err := os.OpenFile(filepath.Join(f.spec.Dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/fleet/wait.go
+++ b/fleet/wait.go
@@ -68,6 +68,10 @@
 
 // WaitSlots waits until all rate slots have a holder.
 func (f *Fleet) WaitSlots() error {
+	if f.spec.Adapter != "" {
+		// Platforms have no slots.
+		return nil
+	}
 	deadline := time.Now().Add(readyTimeout)
 	for {
 		held := 0
--- a/load/client.go
+++ b/load/client.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -27,6 +30,8 @@
 type client struct {
 	cfg  Config
 	http *fasthttp.Client
+	// sent numbers the attempts.
+	sent atomic.Uint64
 }
 
 func newClient(cfg Config) *client {
@@ -48,7 +53,11 @@
 func (c *client) do(ctx context.Context, j job, res *Result) {
 	res.sent(j)
 	began := time.Now()
-	if j.path.OneTime {
+	switch {
+	case j.path.OneTime && c.cfg.Attempt != "":
+		c.actByAttempt(ctx, j, res, began)
+		return
+	case j.path.OneTime:
 		c.act(ctx, j, res, began)
 		return
 	}
@@ -98,6 +107,31 @@
 	res.refused(j, last.Kind+"/"+last.Outcome, final)
 }
 
+// actByAttempt runs a one-time action under an id of the caller's own. Only what
+// has not run is sent again, as a new attempt: nobody answers for the run of an
+// attempt that was sent to another daemon.
+func (c *client) actByAttempt(ctx context.Context, j job, res *Result, began time.Time) {
+	var last problem
+	final := FinalNotRun
+	for i := range c.cfg.Repeats + 1 {
+		r := c.send(j, (j.entry+i)%len(c.cfg.Entries), "")
+		if r.ok {
+			res.served(j, time.Since(began), r.mixed)
+			return
+		}
+		last = r.problem
+		if last.Outcome != outcomeNotRun {
+			final = FinalUnknown
+			break
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		time.Sleep(repeatPause)
+	}
+	res.refused(j, last.Kind+"/"+last.Outcome, final)
+}
+
 const repeatPause = 50 * time.Millisecond
 
 // nextTicket keeps the ticket while its outcome is unknown.
@@ -125,6 +159,10 @@
 	if j.path.OneTime {
 		req.Header.SetMethod(fasthttp.MethodPost)
 	}
+	if c.cfg.Attempt != "" {
+		req.Header.Set(c.cfg.Attempt, fmt.Sprintf("%s.%d", j.action, c.sent.Add(1)))
+		req.Header.Set(c.cfg.Remaining, strconv.FormatInt(c.cfg.Timeout.Milliseconds(), 10))
+	}
 	if ticket != "" {
 		req.Header.Set("Idempotency-Key", ticket)
 	}
--- a/load/load.go
+++ b/load/load.go
@@ -48,6 +48,11 @@
 	Label string
 	// MaxRequests bounds the run.
 	MaxRequests int
+	// Attempt and Remaining name the headers with the caller's own id of an
+	// attempt and its time left, in milliseconds. With them, one-time actions
+	// need no ticket.
+	Attempt   string
+	Remaining string
 }
 
 //go:generate enumer -type=Final -transform=snake -trimprefix=Final -output=load_enumer.go
--- a/rigs/demo.go
+++ b/rigs/demo.go
@@ -16,6 +16,7 @@
 	"chestnutlatch/fleet"
 	"chestnutlatch/ident"
 	"chestnutlatch/load"
+	"chestnutlatch/setup"
 	"chestnutlatch/stand"
 )
 
@@ -26,6 +27,10 @@
 	Hold     string
 	Duration time.Duration
 	Seed     uint64
+	// Adapter names a platform; empty is the product's own interface.
+	Adapter string
+	// LogLevels are given to the daemons in turn.
+	LogLevels []string
 }
 
 // NewCmdDemo returns the `standin demo` command.
@@ -34,8 +39,13 @@
 	cmd := &cobra.Command{
 		Use:   "demo",
 		Short: "Run a small fleet on loopback, hurt it, and show what callers saw",
-		Args:  cobra.NoArgs,
+		Example: "  standin demo\n" +
+			"  standin demo --adapter kv --hold demo --log-levels info,off",
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if opts.Adapter != "" && opts.Adapter != setup.AdapterKV {
+				return &cmdkit.FlagError{Flag: "adapter", Remedy: "use " + setup.AdapterKV + " or leave it out"}
+			}
 			if runF != nil {
 				return runF(opts)
 			}
@@ -45,6 +55,8 @@
 	fl := cmd.Flags()
 	fl.StringVar(&opts.Bin, "bin", "bin", "folder of the built programs")
 	fl.StringVar(&opts.Hold, "hold", "", "keep the fleet running until interrupted, and write demo.json to this folder")
+	fl.StringVar(&opts.Adapter, "adapter", "", "stand on the platform with this adapter (kv) instead of the product's own store")
+	fl.StringSliceVar(&opts.LogLevels, "log-levels", nil, "log levels of the daemons, in turn (default info)")
 	fl.DurationVar(&opts.Duration, "duration", 9*time.Second, "length of the load")
 	fl.Uint64Var(&opts.Seed, "seed", 1, "seed of the load")
 	return cmd
@@ -64,7 +76,7 @@
 		}
 		defer os.RemoveAll(dir)
 	}
-	f, teams, err := StartDemo(opts.Bin, dir)
+	f, teams, err := StartDemo(opts, dir)
 	if err != nil {
 		return err
 	}
@@ -82,14 +94,14 @@
 
 // StartDemo starts the demonstration's fleet: two regions with two data
 // centres each, and three targets with a daemon each in every data centre.
-func StartDemo(bin, dir string) (*fleet.Fleet, []load.Team, error) {
+func StartDemo(opts *DemoOptions, dir string) (*fleet.Fleet, []load.Team, error) {
 	var services []ident.Service
 	for _, s := range fleet.DemoServices() {
 		services = append(services, ident.Service(s))
 	}
 	f, err := fleet.Start(fleet.Spec{
-		Bin: bin, Dir: dir, Regions: 2, CentresPerRegion: 2, TargetsPerCentre: 3,
-		Services: services, Slots: 5, WorkMillis: 5, RateSlots: 12,
+		Bin: opts.Bin, Dir: dir, Regions: 2, CentresPerRegion: 2, TargetsPerCentre: 3,
+		Services: services, Slots: 5, WorkMillis: 5, RateSlots: 12, Adapter: opts.Adapter, LogLevels: opts.LogLevels,
 	})
 	if err != nil {
 		return nil, nil, err
@@ -117,18 +129,22 @@
 			status = append(status, t.Address)
 		}
 	}
-	quiet := load.Direct(ctx, status, 50, 2*time.Second, opts.Seed)
 	lookups := load.Config{
 		Entries: f.Entries(), Teams: teams, Paths: fleet.DemoPaths()[:1], Duration: 2 * time.Second,
 		Timeout: 3 * time.Second, Seed: opts.Seed, Label: "quiet",
 	}
-	through := load.Run(ctx, lookups)
+	through := load.Run(ctx, fleet.Dialect(lookups, opts.Adapter))
+	var quiet *load.Result
+	if opts.Adapter == "" {
+		// Targets of a platform want to be named, which only daemons do.
+		quiet = load.Direct(ctx, status, 50, 2*time.Second, opts.Seed)
+	}
 	hurt := make(chan error, 1)
 	go func() { hurt <- hurtFleet(ctx, opts, f) }()
-	res := load.Run(ctx, load.Config{
+	res := load.Run(ctx, fleet.Dialect(load.Config{
 		Entries: f.Entries(), Teams: teams, Paths: fleet.DemoPaths(), Duration: opts.Duration,
 		Timeout: 3 * time.Second, Repeats: 6, Seed: opts.Seed, Rush: 1.5, Label: "demo",
-	})
+	}, opts.Adapter))
 	if err := <-hurt; err != nil {
 		return err
 	}
@@ -139,9 +155,12 @@
 	if err := printResult(opts.Streams, res, nil, false); err != nil {
 		return err
 	}
-	fmt.Fprintf(opts.Streams.Out, "quiet look-ups p50 / p99: through the fleet %d / %d us, straight %d / %d us, ratio %.2f / %.2f\n",
-		through.Quantile(50), through.Quantile(99), quiet.Quantile(50), quiet.Quantile(99),
-		float64(through.Quantile(50))/float64(quiet.Quantile(50)), float64(through.Quantile(99))/float64(quiet.Quantile(99)))
+	fmt.Fprintf(opts.Streams.Out, "quiet look-ups p50 / p99: through the fleet %d / %d us", through.Quantile(50), through.Quantile(99))
+	if quiet != nil {
+		fmt.Fprintf(opts.Streams.Out, ", straight %d / %d us, ratio %.2f / %.2f", quiet.Quantile(50), quiet.Quantile(99),
+			float64(through.Quantile(50))/float64(quiet.Quantile(50)), float64(through.Quantile(99))/float64(quiet.Quantile(99)))
+	}
+	fmt.Fprintln(opts.Streams.Out)
 	fmt.Fprintf(opts.Streams.Out, "doubles %d, false not_run %d, lost %d, unknown %d, keys seen by targets %d, mixed answers %d\n",
 		v.Doubles, v.FalseNotRun, v.Lost, v.Unknown, v.KeysSeen, v.Mixed)
 	if !v.IsClean() {
@@ -160,6 +179,13 @@
 	if err := fleet.PutJSON(f.Targets[0].Control, "/faults", stand.TargetFaults{SlowFactor: 20, ErrorRate: 0.5}); err != nil {
 		return err
 	}
+	if opts.Adapter != "" {
+		// Daemons of a platform suspect targets rather than call them sick.
+		if !pause(ctx, third) {
+			return nil
+		}
+		return killOne(opts, f)
+	}
 	began := time.Now()
 	took, err := f.WaitSick(f.Daemons[1], ident.Target("t-"+strings.TrimPrefix(f.Targets[0].Name, "target-")))
 	if err != nil {
@@ -169,6 +195,10 @@
 	if !pause(ctx, third-time.Since(began)) {
 		return nil
 	}
+	return killOne(opts, f)
+}
+
+func killOne(opts *DemoOptions, f *fleet.Fleet) error {
 	victim := f.Daemons[len(f.Daemons)-1]
 	opts.Streams.Printf("%s is killed", victim.Name)
 	return victim.Kill()
--- a/rigs/load.go
+++ b/rigs/load.go
@@ -68,6 +68,7 @@
 type demoFile struct {
 	Processes []fleet.Process `json:"processes"`
 	Teams     []load.Team     `json:"teams"`
+	Adapter   string          `json:"adapter"`
 }
 
 func loadRun(ctx context.Context, opts *LoadOptions) error {
@@ -105,7 +106,7 @@
 	if opts.Direct {
 		straight = load.Direct(ctx, direct, rate, opts.Duration, opts.Seed)
 	}
-	return printResult(opts.Streams, load.Run(ctx, cfg), straight, opts.JSON)
+	return printResult(opts.Streams, load.Run(ctx, fleet.Dialect(cfg, demo.Adapter)), straight, opts.JSON)
 }
 
 // printResult writes what callers saw.
--- a/rigs/target.go
+++ b/rigs/target.go
@@ -1,6 +1,7 @@
 package rigs
 
 import (
+	"encoding/json"
 	"net"
 	"net/http"
 	"strings"
@@ -13,7 +14,10 @@
 	"chestnutlatch/clock"
 	"chestnutlatch/cmdkit"
 	"chestnutlatch/fleet"
+	"chestnutlatch/guard"
 	"chestnutlatch/ident"
+	"chestnutlatch/platform"
+	"chestnutlatch/setup"
 	"chestnutlatch/stand"
 )
 
@@ -28,6 +32,8 @@
 	Address    string
 	Control    string
 	Announce   string
+	Adapter    string
+	DataCentre string
 	Slots      int
 	Work       time.Duration
 	ColdFor    time.Duration
@@ -47,6 +53,9 @@
 			if opts.ID == "" || opts.Service == "" {
 				return &cmdkit.FlagError{Flag: "id", Remedy: "give --id and --service"}
 			}
+			if opts.Adapter != "" && opts.Adapter != setup.AdapterKV {
+				return &cmdkit.FlagError{Flag: "adapter", Remedy: "use " + setup.AdapterKV + " or leave it out"}
+			}
 			if runF != nil {
 				return runF(opts)
 			}
@@ -59,6 +68,8 @@
 	fl.StringVar(&opts.Address, "address", "127.0.0.1:8001", "address of the target")
 	fl.StringVar(&opts.Control, "control", "127.0.0.1:8002", "address of the switches: PUT /faults, GET /record")
 	fl.StringVar(&opts.Announce, "announce", "", "operator address of the daemon beside the target")
+	fl.StringVar(&opts.Adapter, "adapter", "", "speak the interface of the platform with this adapter (kv); empty is the product's own")
+	fl.StringVar(&opts.DataCentre, "data-centre", "", "data centre named in heartbeats, with --adapter")
 	fl.IntVar(&opts.Slots, "slots", 5, "requests served at once")
 	fl.DurationVar(&opts.Work, "work", 5*time.Millisecond, "mean service time")
 	fl.DurationVar(&opts.ColdFor, "cold", 0, "time after the start in which the target is slow")
@@ -68,17 +79,23 @@
 }
 
 func targetRun(opts *TargetOptions) error {
-	t := stand.NewTarget(stand.TargetConfig{
+	cfg := stand.TargetConfig{
 		ID: ident.Target(opts.ID), Service: ident.Service(opts.Service), Slots: opts.Slots,
 		Work: clock.FromDuration(opts.Work), ColdFor: clock.FromDuration(opts.ColdFor),
 		ColdFactor: opts.ColdFactor, Seed: opts.Seed,
-	}, clock.NewSystem())
+	}
+	tell := announce
+	if opts.Adapter != "" {
+		cfg.Dialect = platform.Adapter().Dialect
+		tell = sendBeats
+	}
+	t := stand.NewTarget(cfg, clock.NewSystem())
 	l, err := net.Listen("tcp", opts.Address)
 	if err != nil {
 		return errors.Wrap(err, "target address")
 	}
 	if opts.Announce != "" {
-		go announce(opts, t)
+		go tell(opts, t)
 	}
 	go func() { _ = fasthttp.ListenAndServe(opts.Control, t.Control) }()
 	return t.Serve(l)
@@ -105,3 +122,23 @@
 		time.Sleep(announceEvery)
 	}
 }
+
+// sendBeats sends heartbeats until the process ends.
+func sendBeats(opts *TargetOptions, t *stand.Target) {
+	b := guard.Beat{
+		Spec: guard.Spec{ID: ident.Target(opts.ID), Service: ident.Service(opts.Service), Address: opts.Address, Slots: opts.Slots},
+		Born: clock.NewSystem().Wall(),
+	}
+	for {
+		b.Sequence++
+		b.Draining = t.IsDraining()
+		path, body, err := platform.WriteBeat(b, ident.DataCentre(opts.DataCentre))
+		if err == nil {
+			err = fleet.PutJSON(opts.Announce, path, json.RawMessage(body))
+		}
+		if err != nil {
+			opts.Streams.Printf("heartbeat failed: %v", err)
+		}
+		time.Sleep(announceEvery)
+	}
+}
--- a/stand/target.go
+++ b/stand/target.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"chestnutlatch/clock"
+	"chestnutlatch/guard"
 	"chestnutlatch/ident"
 )
 
@@ -52,6 +53,9 @@
 	ColdFor    clock.Millis
 	ColdFactor float64
 	Seed       uint64
+	// Dialect is the interface between daemon and target; the zero value is the
+	// product's own.
+	Dialect guard.Dialect
 }
 
 // Record is what a target has seen.
@@ -165,10 +169,22 @@
 		t.health(c)
 		return
 	}
+	d := t.cfg.Dialect
+	if d.Expect != "" && string(c.Request.Header.Peek(d.Expect)) != string(t.cfg.ID) {
+		c.Error("another target is meant", fasthttp.StatusMisdirectedRequest)
+		return
+	}
+	if d.Attempt != "" {
+		c.Response.Header.SetBytesV(d.Attempt, c.Request.Header.Peek(d.Attempt))
+	}
 	p := t.begin(c)
 	if p.shed {
+		if d.NotRun != "" {
+			c.Response.Header.Set(d.NotRun, "1")
+		}
 		c.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
-		c.Error("busy", fasthttp.StatusServiceUnavailable)
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		c.SetBodyString("busy")
 		return
 	}
 	time.Sleep(p.work)
@@ -181,7 +197,8 @@
 	case p.half:
 		hijackClose(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nonly the beginning")
 	case p.fail:
-		c.Error("failed", fasthttp.StatusInternalServerError)
+		c.SetStatusCode(fasthttp.StatusInternalServerError)
+		c.SetBodyString("failed")
 	default:
 		fmt.Fprintf(c, "%s %s %s\n", t.cfg.ID, c.Path(), c.Request.Header.Peek(ActionHeader))
 	}
