--- a/admin/serve/serve.go
+++ b/admin/serve/serve.go
@@ -61,9 +61,9 @@
 	clk := clock.NewSystem()
 	out := logs.New(opts.Factory.Streams.Out, logs.Limits{LinesPerSecond: cfg.LogLines, BytesPerSecond: cfg.LogBytes}, clk)
 	defer out.Close()
-	log := hclog.New(&hclog.LoggerOptions{
+	log := logs.Gate(hclog.New(&hclog.LoggerOptions{
 		Name: "chestnutlatch", Level: cfg.LogLevel, JSONFormat: cfg.LogJSON, Output: out,
-	}).With("instance", cfg.Instance)
+	}), out).With("instance", cfg.Instance)
 	d, err := newDaemon(cfg, clk, log)
 	if err != nil {
 		return err
--- a/daemon/docs.go
+++ b/daemon/docs.go
@@ -45,6 +45,8 @@
 	introduced int64
 	// failing is since when the store does not answer, 0 if it does.
 	failing atomic.Int64
+	// installed is when the configuration in force came.
+	installed atomic.Int64
 	// endWatch ends the watch under way; nil without one.
 	endWatch atomic.Pointer[context.CancelFunc]
 }
@@ -61,6 +63,18 @@
 	}
 }
 
+// age returns how long the configuration has been in force, and silence how long
+// the store has not answered.
+func (s *docs) age(now clock.Millis) (age, silence clock.Millis) {
+	if at := s.installed.Load(); at > 0 {
+		age = now - clock.Millis(at)
+	}
+	if since := s.failing.Load(); since > 0 {
+		silence = now - clock.Millis(since)
+	}
+	return age, silence
+}
+
 func newDocs(d *Daemon) *docs {
 	return &docs{d: d, hints: make(chan string, hintDepth)}
 }
@@ -143,6 +157,7 @@
 	if !s.d.table.Install(b) {
 		return
 	}
+	s.installed.Store(int64(s.d.clk.Now()))
 	s.d.log.Info("configuration in force", "revision", uint64(rev), "before", uint64(before), "from", from)
 	s.d.near.wake()
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -12,6 +12,7 @@
 	"chestnutlatch/fault"
 	"chestnutlatch/guard"
 	"chestnutlatch/ident"
+	"chestnutlatch/meter"
 	"chestnutlatch/record"
 	"chestnutlatch/wire"
 )
@@ -47,7 +48,6 @@
 	}
 	r.route.Service = e.splits.Service(r.route)
 	r.out.Service = string(r.route.Service)
-	r.out.Attempt = string(c.Request.Header.Peek(e.Dialect.Attempt))
 	r.out.OriginService = string(e.Service)
 	r.out.OneTime = r.route.OneTime
 	if r.route.Open {
@@ -78,12 +78,14 @@
 	if r.route.Open || r.team.Rate == 0 || e.Shares == nil {
 		return nil
 	}
-	wait, ok := e.Shares.Take(r.began, r.team)
-	if ok {
+	d := e.Shares.Take(r.began, r.team)
+	r.taking = &d
+	e.Meter.ShareDecided(meter.ShareEndOf(d.OK, d.Level))
+	if d.OK {
 		return nil
 	}
 	return fault.NotRun(fault.OverRate, "team %s is over its rate of %d/s and burst of %d: wait as told, or ask for a higher rate",
-		r.team.ID, r.team.Rate, r.team.Burst).After(wait)
+		r.team.ID, r.team.Rate, r.team.Burst).After(d.Wait)
 }
 
 // trail is what is known of a request after some guards were asked.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,7 +82,7 @@
 // Admitter keeps the teams' rates without a call.
 type Admitter interface {
 	// Take spends one request, or returns how long the team should wait.
-	Take(now clock.Millis, t record.Team) (wait clock.Millis, ok bool)
+	Take(now clock.Millis, t record.Team) limit.Taking
 }
 
 // Entry serves callers. It is safe for concurrent use.
@@ -114,6 +114,8 @@
 	ticket string
 	// began is when the request had been read.
 	began clock.Millis
+	// taking is what the team's share decided; nil if it was not asked.
+	taking *limit.Taking
 	// unknown tells that an attempt may have reached a target.
 	unknown bool
 	out     *wire.ForwardRequest
@@ -211,6 +213,9 @@
 		r.ticket = ticket
 	}
 	r.out = e.toForward(c, r)
+	if e.byAttempt() {
+		r.out.Attempt = string(c.Request.Header.Peek(e.Dialect.Attempt))
+	}
 	return r, nil
 }
 
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"time"
 
@@ -67,6 +68,9 @@
 		"revision", uint64(e.Table.Revision()), "steps", r.trail.story(), "took_ms", took.Milliseconds(),
 		"limit_ms", int64(r.deadline - r.began),
 	}
+	if t := r.taking; t != nil {
+		args = append(args, "team_rate", r.team.Rate, "share_level", hundredths(t.Level), "share_rivals", hundredths(t.Rivals))
+	}
 	if refusal == nil {
 		e.Log.Log(level, "request answered", append(args, "status", c.Response.StatusCode())...)
 		return
@@ -75,6 +79,9 @@
 		"retry_after_ms", int64(refusal.RetryAfter), "status", e.statusOf(refusal))...)
 }
 
+// hundredths rounds what operators read.
+func hundredths(x float64) float64 { return math.Round(x*100) / 100 }
+
 // isSampled reports whether the plain success of a request is logged. All
 // daemons keep the same ids.
 func (e *Entry) isSampled(id string) bool {
--- a/limit/share.go
+++ b/limit/share.go
@@ -65,13 +65,18 @@
 // daemons decide on before they hear of each other, this one included. They
 // come to all daemons alike.
 func (s *Shares) rivals(now clock.Millis, b *share) float64 {
-	others := 0
+	return 1 + b.recent(now)*float64(s.heardSenders(now))*float64(unheard)/float64(askedSpan)
+}
+
+// heardSenders counts the other daemons that are heard.
+func (s *Shares) heardSenders(now clock.Millis) int {
+	n := 0
 	for _, p := range s.senders {
 		if now-p.at <= senderLife {
-			others++
+			n++
 		}
 	}
-	return 1 + b.recent(now)*float64(others)*float64(unheard)/float64(askedSpan)
+	return n
 }
 
 // recent is about the number of own requests in the last askedSpan.
@@ -147,26 +152,54 @@
 	return b
 }
 
-// Take spends one request of a team, or returns how long the team should wait.
-func (s *Shares) Take(now clock.Millis, t record.Team) (wait clock.Millis, ok bool) {
+// Taking is what was decided about one request, and on what grounds.
+type Taking struct {
+	OK bool
+	// Wait is how long the team should wait, in milliseconds, if not OK.
+	Wait clock.Millis
+	// Level is what the data centre's bucket held, in requests, and Rivals the
+	// number of requests that its daemons were about to decide on.
+	Level  float64
+	Rivals float64
+}
+
+// Take spends one request of a team, or says how long the team should wait.
+func (s *Shares) Take(now clock.Millis, t record.Team) Taking {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.refill(now, t)
-	rivals := s.rivals(now, b)
+	d := Taking{Level: b.level, Rivals: s.rivals(now, b)}
 	b.ask(now)
 	// Of requests that would empty the bucket several times over before the
 	// daemons hear of each other, about as many are admitted as it holds.
-	if b.level >= 1 && s.rnd.Float64()*rivals < b.level {
+	if b.level >= 1 && s.rnd.Float64()*d.Rivals < b.level {
 		b.level--
 		b.spent++
-		return 0, true
+		d.OK = true
+		return d
 	}
 	missing := 1 - b.level
 	if missing <= 0 {
 		// What is left goes to others; the next one comes after it.
 		missing = 1
 	}
-	return clock.Millis(missing/max(s.rate(t), minRate)*float64(clock.Second)) + 1, false
+	d.Wait = clock.Millis(missing/max(s.rate(t), minRate)*float64(clock.Second)) + 1
+	return d
+}
+
+// ShareStats tells how the data centre's buckets stand.
+type ShareStats struct {
+	// Teams counts the buckets.
+	Teams int
+	// Senders counts the other daemons that are heard.
+	Senders int
+}
+
+// Stats returns how the buckets stand.
+func (s *Shares) Stats(now clock.Millis) ShareStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ShareStats{Teams: len(s.teams), Senders: s.heardSenders(now)}
 }
 
 // minRate bounds the wait of a team with a very small part, in requests per
--- a/limit/share_test.go
+++ b/limit/share_test.go
@@ -69,7 +69,7 @@
 					break
 				}
 				dc := rnd.IntN(len(s.dcs))
-				if _, ok := s.dcs[dc][rnd.IntN(len(s.dcs[dc]))].Take(now, team); ok {
+				if s.dcs[dc][rnd.IntN(len(s.dcs[dc]))].Take(now, team).OK {
 					admitted = append(admitted, now)
 				}
 			}
@@ -106,7 +106,7 @@
 		if rnd.Float64() < 26.0/1.6/100 {
 			asked++
 			dc := rnd.IntN(6)
-			if _, ok := s.dcs[dc][rnd.IntN(6)].Take(now, team); !ok {
+			if !s.dcs[dc][rnd.IntN(6)].Take(now, team).OK {
 				refused++
 			}
 		}
@@ -136,7 +136,7 @@
 		for now := clock.Millis(8001); now < 40_000; now += 10 {
 			if rnd.Float64() < 2.5/100 {
 				asked++
-				if _, ok := s.dcs[rnd.IntN(dcs)][rnd.IntN(daemons)].Take(now, team); !ok {
+				if !s.dcs[rnd.IntN(dcs)][rnd.IntN(daemons)].Take(now, team).OK {
 					refused++
 				}
 			}
@@ -160,13 +160,14 @@
 	s := NewShares(0, rand.New(rand.NewPCG(1, 1)), ShareConfig{Parts: 1, Window: 5 * clock.Second}, only(team))
 	now := clock.Millis(1)
 	var wait clock.Millis
-	for ok := true; ok; {
-		wait, ok = s.Take(now, team)
+	for d := (Taking{OK: true}); d.OK; {
+		d = s.Take(now, team)
+		wait = d.Wait
 	}
-	if _, ok := s.Take(now+wait-2, team); ok {
+	if s.Take(now+wait-2, team).OK {
 		t.Error("a request was admitted before the time told")
 	}
-	if _, ok := s.Take(now+wait, team); !ok {
+	if !s.Take(now+wait, team).OK {
 		t.Error("a request was refused after the time told")
 	}
 }
@@ -181,7 +182,7 @@
 	}
 	refused := 0
 	for now := clock.Millis(10_000); now < 15_000; now += 20 {
-		if _, ok := s.Take(now, team); !ok {
+		if !s.Take(now, team).OK {
 			refused++
 		}
 	}
--- a/logs/writer.go
+++ b/logs/writer.go
@@ -65,13 +65,20 @@
 	return true
 }
 
+// Room reports whether a plain line would be written now.
+func (b *Budget) Room(now clock.Millis) bool {
+	fresh := *b
+	return fresh.Allow(now, 1, false)
+}
+
 // Writer hands lines to a slow or blocked destination without waiting for it.
-// The logger in front of it calls Write for one line at a time.
 type Writer struct {
 	clk     clock.Clock
-	budget  *Budget
 	lines   chan []byte
 	dropped atomic.Uint64
+
+	budgetMu sync.Mutex
+	budget   *Budget
 	// told is the number of dropped lines told so far, reported is when.
 	told     uint64
 	reported clock.Millis
@@ -117,6 +124,8 @@
 // Write implements io.Writer. It never waits and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
 	now := w.clk.Now()
+	w.budgetMu.Lock()
+	defer w.budgetMu.Unlock()
 	urgent := bytes.Contains(line, []byte(`"@level":"warn"`)) || bytes.Contains(line, []byte(`"@level":"error"`))
 	if !w.budget.Allow(now, len(line), urgent) || !w.offer(append([]byte(nil), line...)) {
 		w.dropped.Add(1)
@@ -125,6 +134,20 @@
 	return len(line), nil
 }
 
+// HasRoom reports whether a plain line would be written now. If not, the line
+// counts as dropped and need not be formatted.
+func (w *Writer) HasRoom() bool {
+	now := w.clk.Now()
+	w.budgetMu.Lock()
+	defer w.budgetMu.Unlock()
+	if w.budget.Room(now) {
+		return true
+	}
+	w.dropped.Add(1)
+	w.report(now)
+	return false
+}
+
 func (w *Writer) offer(line []byte) bool {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
--- a/logs/writer_test.go
+++ b/logs/writer_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
+	"github.com/hashicorp/go-hclog"
 	"pgregory.net/rapid"
 
 	"chestnutlatch/clock"
@@ -104,6 +106,42 @@
 	})
 }
 
+// counted is a field that counts how often it is formatted.
+type counted struct{ times *atomic.Int64 }
+
+// MarshalText implements encoding.TextMarshaler.
+func (c counted) MarshalText() ([]byte, error) {
+	c.times.Add(1)
+	return []byte("x"), nil
+}
+
+// TestGateFormatsNoLineThatIsDropped covers a storm of lines over the budget.
+func TestGateFormatsNoLineThatIsDropped(t *testing.T) {
+	clk := clock.NewManual(1)
+	out := &sink{got: make(chan struct{}, 10_000)}
+	w := New(out, Limits{LinesPerSecond: 50, BytesPerSecond: 1 << 20}, clk)
+	log := Gate(hclog.New(&hclog.LoggerOptions{Level: hclog.Info, JSONFormat: true, Output: w}), w).Named("entry").With("instance", "i")
+	var plain, urgent atomic.Int64
+	const storm = 1000
+	for range storm {
+		log.Info("request refused", "id", counted{&plain})
+		log.Debug("never written", "id", counted{&plain})
+	}
+	if n := plain.Load(); n > 100 || w.Dropped() != storm-uint64(n) {
+		t.Errorf("%d lines are formatted with room for 100, %d of %d are dropped", n, w.Dropped(), storm)
+	}
+	log.Warn("store lost", "id", counted{&urgent})
+	if urgent.Load() != 1 {
+		t.Error("a warning is not formatted")
+	}
+	clk.Advance(reportEvery)
+	before := plain.Load()
+	log.Info("request refused", "id", counted{&plain})
+	if plain.Load() == before {
+		t.Error("no line passes when there is room again")
+	}
+}
+
 func BenchmarkWrite(b *testing.B) {
 	w := New(&bytes.Buffer{}, Limits{LinesPerSecond: 200, BytesPerSecond: 100_000}, clock.NewSystem())
 	line := []byte(`{"@level":"info","@message":"request refused","id":"58e92d0cfa0c0474"}` + "\n")
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -89,6 +89,36 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chestnutlatch_requests_total{kind=%q,end=%q}`, k, end)).Inc()
 }
 
+// ShareEnd is how a request fared at its team's share of the rate.
+type ShareEnd string
+
+// Ends at a share.
+const (
+	ShareAdmitted ShareEnd = "admitted"
+	// ShareEmpty is a refusal by an empty bucket.
+	ShareEmpty ShareEnd = "empty"
+	// ShareContended is a refusal by a bucket that is left to requests which
+	// other daemons decide on at the same time.
+	ShareContended ShareEnd = "contended"
+)
+
+// ShareEndOf names a decision by the bucket's level before it, in requests.
+func ShareEndOf(ok bool, level float64) ShareEnd {
+	switch {
+	case ok:
+		return ShareAdmitted
+	case level < 1:
+		return ShareEmpty
+	default:
+		return ShareContended
+	}
+}
+
+// ShareDecided counts a request that its team's share decided on.
+func (m *Meter) ShareDecided(end ShareEnd) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`chestnutlatch_rate_decisions_total{end=%q}`, end)).Inc()
+}
+
 // Refused counts a refusal by kind and outcome.
 func (m *Meter) Refused(r *fault.Refusal) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`chestnutlatch_refused_total{kind=%q,outcome=%q}`, r.Kind, r.Outcome)).Inc()
