--- a/entry/link.go
+++ b/entry/link.go
@@ -28,6 +28,9 @@
 	// probed: a cut lasts seconds, and a request that tries it is lost.
 	probeFirst = 250 * time.Millisecond
 	probeMost  = time.Second
+	// probeRate bounds the probes of all paths, in probes a second. One takes
+	// about 200 bytes both ways, and a daemon may spend 12 KB a second on control.
+	probeRate = 40
 )
 
 var (
@@ -51,6 +54,9 @@
 	// base ends the probes of paths.
 	base context.Context
 
+	// probing is the number of paths that are probed.
+	probing atomic.Int64
+
 	mu sync.Mutex
 	// busy counts the calls under way by the peer's inner address.
 	busy map[string]int
@@ -93,11 +99,13 @@
 // probe asks an instance whose path failed until it answers or is gone, so that
 // no request has to find out.
 func (l *link) probe(to ident.Instance, address string) {
+	l.probing.Add(1)
+	defer l.probing.Add(-1)
 	for pause := probeFirst; l.picker.IsPathHeld(to); pause = min(2*pause, probeMost) {
 		select {
 		case <-l.base.Done():
 			return
-		case <-time.After(pause):
+		case <-time.After(probePause(pause, l.probing.Load())):
 		}
 		now, _, up := l.fleet.Locate(to)
 		if !up || now != address {
@@ -112,6 +120,12 @@
 	}
 }
 
+// probePause stretches a pause so that the probes of several paths keep to their
+// rate together.
+func probePause(pause time.Duration, paths int64) time.Duration {
+	return max(pause, time.Duration(paths)*time.Second/probeRate)
+}
+
 func (l *link) answers(address string) bool {
 	client, err := l.peers.Get(address)
 	if err != nil {
