entry: a request over its time is no failed path

Cause: the check of a long call's peer ran under the request's own time. A request whose time ends at the first check (400 ms, common for calls that targets make) failed that check at once, before its own timer had run: the call counted as a failed path, the entry avoided all targets of that instance until a check answered (250 ms and more), and the caller was told 'cannot be reached'. A peer's own word that the time was over was taken for a failed path as well. Changed: a check has a time of its own. A call that ends over time is deadline_exceeded, and since requests that short end before their peer is checked, the check is made after them: one at a time for each address, and only its failure marks the path. Ruled out: the targets (their runs went on to the limit).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -246,7 +246,7 @@
 	if err != nil {
 		r.unknown = true
 		e.arrive(r, t)
-		t.last = e.lost(ctx, c)
+		t.last = e.lost(ctx, c, err)
 		return r.route.OneTime
 	}
 	e.takeReport(r.route.Service, reply)
@@ -302,11 +302,11 @@
 }
 
 // lost is the refusal of a request whose guard does not answer.
-func (e *Entry) lost(ctx context.Context, c choose.Candidate) *fault.Refusal {
+func (e *Entry) lost(ctx context.Context, c choose.Candidate, err error) *fault.Refusal {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return fault.Unknown(fault.Canceled, "request ended while it was served")
 	}
-	if ctx.Err() != nil {
+	if isOverTime(ctx, err) {
 		return fault.Unknown(fault.DeadlineExceeded, "no answer in time: allow more time with %s", e.Dialect.Timeout)
 	}
 	return fault.Unknown(fault.PathFailed, "instance %s cannot be reached: repeat the request", c.Instance)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		e.Log.Debug("guard not reached", "target", c.Target, "at", c.Instance, "error", err)
 		r.unknown = true
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || isOverTime(ctx, err) {
 			return nil, fault.Unknown(fault.DeadlineExceeded, "no answer in time: allow more time with %s", guard.TimeoutHeader)
 		}
 		return nil, fault.Unknown(fault.PathFailed, "instance %s cannot be reached: repeat the request", c.Instance)
--- a/entry/link.go
+++ b/entry/link.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"chestnutlatch/choose"
 	"chestnutlatch/clock"
@@ -60,11 +62,14 @@
 	mu sync.Mutex
 	// busy counts the calls under way by the peer's inner address.
 	busy map[string]int
+	// doubted holds the addresses that are checked since a request's time ran
+	// out there.
+	doubted map[string]bool
 }
 
 func newLink(base context.Context, d Deps) *link {
 	return &link{
-		base: base, busy: map[string]int{},
+		base: base, busy: map[string]int{}, doubted: map[string]bool{},
 		instance: d.Instance, incarnation: d.Incarnation, clk: d.Clock,
 		guard: d.Guard, peers: d.Peers, picker: d.Picker, fleet: d.Fleet, meter: d.Meter,
 	}
@@ -78,16 +83,48 @@
 		return l.guard.Forward(ctx, req), nil
 	}
 	reply, err := l.remote(ctx, address, req)
-	if err != nil {
-		if ctx.Err() == nil {
-			l.failed(to, address)
-		}
+	switch {
+	case err == nil:
+	case isOverTime(ctx, err):
+		l.doubt(to, address)
+		return nil, err
+	case ctx.Err() == nil:
+		l.failed(to, address)
+		return nil, err
+	default:
 		return nil, err
 	}
 	l.picker.PathWorks(to)
 	return reply, nil
 }
 
+// isOverTime reports whether a call ended since its time was over. The peer's word
+// may come before the own clock says so.
+func isOverTime(ctx context.Context, err error) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded) || status.Code(err) == codes.DeadlineExceeded
+}
+
+// doubt checks a path on which a request's time ran out: short requests end
+// before their peer is checked, and say nothing about the path.
+func (l *link) doubt(to ident.Instance, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.doubted[address] {
+		return
+	}
+	l.doubted[address] = true
+	go func() {
+		defer func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			delete(l.doubted, address)
+		}()
+		if !l.answers(address) && l.base.Err() == nil {
+			l.failed(to, address)
+		}
+	}()
+}
+
 // failed notes a path that does not work and has it probed.
 func (l *link) failed(to ident.Instance, address string) {
 	l.picker.PathFailed(l.clk.Now(), to)
@@ -212,19 +249,27 @@
 func newWatch(ctx context.Context, client wire.InnerClient, cancel context.CancelCauseFunc) *watch {
 	w := &watch{}
 	w.timer = time.AfterFunc(checkAfter, func() {
-		err := check(ctx, client)
-		if w.stopped.Load() || ctx.Err() != nil {
-			return
+		if w.check(ctx, client, cancel) {
+			w.timer.Reset(checkEvery)
 		}
-		if err != nil {
-			cancel(errPath)
-			return
-		}
-		w.timer.Reset(checkEvery)
 	})
 	return w
 }
 
+// check ends the call if its peer does not answer. It reports whether to look
+// again. The request's own end is no word on its peer.
+func (w *watch) check(ctx context.Context, client wire.InnerClient, cancel context.CancelCauseFunc) bool {
+	err := check(context.WithoutCancel(ctx), client)
+	if w.stopped.Load() || ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		cancel(errPath)
+		return false
+	}
+	return true
+}
+
 func (w *watch) stop() {
 	w.stopped.Store(true)
 	w.timer.Stop()
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
+	"chestnutlatch/choose"
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/ident"
@@ -104,6 +106,8 @@
 
 	up       atomic.Bool
 	requests atomic.Int64
+	// overTime ends requests as over their time.
+	overTime atomic.Bool
 }
 
 // Ping implements wire.InnerServer.
@@ -117,24 +121,91 @@
 // Forward implements wire.InnerServer.
 func (d *lateDaemon) Forward(context.Context, *wire.ForwardRequest) (*wire.ForwardReply, error) {
 	d.requests.Add(1)
+	if d.overTime.Load() {
+		return nil, status.Error(codes.DeadlineExceeded, "over time")
+	}
 	return nil, status.Error(codes.Unavailable, "cut off")
 }
 
-// TestFailedPathIsProbed covers a cut of seconds: after the first request that
-// is lost, checks find out when the path works again.
-func TestFailedPathIsProbed(t *testing.T) {
+// start serves and returns the address.
+func (d *lateDaemon) start(t *testing.T) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	far := &lateDaemon{}
 	srv := grpc.NewServer()
-	wire.RegisterInnerServer(srv, far)
+	wire.RegisterInnerServer(srv, d)
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(srv.Stop)
+	return l.Addr().String()
+}
+
+// TestTimeOverIsNoFailedPath covers requests that are shorter than the check of
+// their peer: a path on which their time ran out is avoided only if the peer
+// does not answer a check either.
+func TestTimeOverIsNoFailedPath(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		t.Run(fmt.Sprint("peer answers ", answers), func(t *testing.T) {
+			far := &lateDaemon{}
+			far.up.Store(answers)
+			far.overTime.Store(true)
+			address := far.start(t)
+			s := newSite(t, [2]string{good, good})
+			s.link.fleet = &farFleet{address: address}
+			_, err := s.link.call(context.Background(), "far", address, &wire.ForwardRequest{})
+			if err == nil {
+				t.Fatal("the request was answered")
+			}
+			if got := s.lost(context.Background(), choose.Candidate{}, err).Kind; got != fault.DeadlineExceeded {
+				t.Errorf("the request ended with %s", got)
+			}
+			for checked := false; !checked; time.Sleep(time.Millisecond) {
+				s.link.mu.Lock()
+				checked = len(s.link.doubted) == 0
+				s.link.mu.Unlock()
+			}
+			if got := s.Picker.IsPathHeld("far"); got == answers {
+				t.Errorf("path is held %v although the peer answers checks %v", got, answers)
+			}
+		})
+	}
+}
+
+// overdue is a request's context at the moment when its time has run out and its
+// timer has not.
+type overdue struct{ context.Context }
+
+// Deadline implements context.Context.
+func (overdue) Deadline() (time.Time, bool) { return time.Unix(1, 0), true }
+
+// TestCheckOutlivesItsRequest covers requests whose time is that of the first
+// check: their end is not taken for a peer that does not answer.
+func TestCheckOutlivesItsRequest(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		far := &lateDaemon{}
+		far.up.Store(answers)
+		s := newSite(t, [2]string{good, good})
+		client, err := s.Peers.Get(far.start(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var cause error
+		again := new(watch).check(overdue{context.Background()}, client, func(err error) { cause = err })
+		if again != answers || (cause == nil) != answers {
+			t.Errorf("peer answers %v: looks again %v, cause %v", answers, again, cause)
+		}
+	}
+}
+
+// TestFailedPathIsProbed covers a cut of seconds: after the first request that
+// is lost, checks find out when the path works again.
+func TestFailedPathIsProbed(t *testing.T) {
+	far := &lateDaemon{}
+	address := far.start(t)
 	s := newSite(t, [2]string{good, good})
-	s.link.fleet = &farFleet{address: l.Addr().String()}
-	if _, err := s.link.call(context.Background(), "far", l.Addr().String(), &wire.ForwardRequest{}); err == nil {
+	s.link.fleet = &farFleet{address: address}
+	if _, err := s.link.call(context.Background(), "far", address, &wire.ForwardRequest{}); err == nil {
 		t.Fatal("a cut daemon answered")
 	}
 	if !s.Picker.IsPathBad(s.Clock.Now()+clock.Minute, "far") {
--- a/entry/strict_test.go
+++ b/entry/strict_test.go
@@ -190,7 +190,7 @@
 	s := newSite(t, [2]string{good, good})
 	ctx, leave := context.WithCancel(context.Background())
 	leave()
-	if got := s.lost(ctx, choose.Candidate{}); got.Kind != fault.Canceled {
+	if got := s.lost(ctx, choose.Candidate{}, context.Canceled); got.Kind != fault.Canceled {
 		t.Errorf("a caller that left is told as %s", got.Kind)
 	}
 }
