--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -2,9 +2,13 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
+	"os"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/record"
 	"chestnutlatch/wire"
@@ -79,6 +83,11 @@
 	if n > 0 {
 		c.pace.got(c.clk.Now(), l)
 	}
+	if c.pace.part == partRest && errors.Is(err, os.ErrDeadlineExceeded) {
+		// A refusal here could be taken for the answer to a request that
+		// crosses it.
+		return n, io.EOF
+	}
 	return n, err
 }
 
--- a/daemon/callers_test.go
+++ b/daemon/callers_test.go
@@ -98,6 +98,21 @@
 	}
 }
 
+// TestUnusedConnectionClosesSilently covers a connection on which nothing came.
+func TestUnusedConnectionClosesSilently(t *testing.T) {
+	var limits atomic.Pointer[record.CallerLimits]
+	limits.Store(&record.CallerLimits{HeadTime: clock.Minute, IdleTime: 30})
+	address := pacedServer(t, &limits, &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}})
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if got, err := io.ReadAll(c); err != nil || len(got) > 0 {
+		t.Errorf("the connection ended with %q, %v", got, err)
+	}
+}
+
 // TestRestAndBodyHaveTheirOwnTime covers a connection that rests, and a body
 // that comes, for longer than a head may take.
 func TestRestAndBodyHaveTheirOwnTime(t *testing.T) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -282,33 +282,6 @@
 	l.log.Debug("http", "message", format, "args", len(args))
 }
 
-func (d *Daemon) registerGauges() {
-	d.meter.Gauge("chestnutlatch_config_revision", func() float64 { return float64(d.table.Revision()) })
-	d.meter.Gauge("chestnutlatch_config_bytes", func() float64 { return float64(d.table.Bytes()) })
-	d.meter.Gauge("chestnutlatch_members", func() float64 { return float64(d.fleet.count()) })
-	d.meter.Gauge("chestnutlatch_targets", func() float64 { return float64(d.picker.Count()) })
-	d.meter.Gauge("chestnutlatch_rate_slots_held", func() float64 { return float64(d.slots.count()) })
-	d.meter.Gauge("chestnutlatch_suspect_targets", func() float64 { return float64(d.guard.Suspects(d.clk.Now())) })
-	d.meter.Gauge("chestnutlatch_bad_paths", func() float64 { return float64(d.picker.BadPaths(d.clk.Now())) })
-	d.meter.Gauge("chestnutlatch_retries_left", func() float64 { return d.picker.RetriesLeft() })
-	if d.platform != nil {
-		d.meter.Gauge("chestnutlatch_config_age_seconds", func() float64 {
-			age, _ := d.docs.age(d.clk.Now())
-			return age.Duration().Seconds()
-		})
-		d.meter.Gauge("chestnutlatch_store_silent_seconds", func() float64 {
-			_, silence := d.docs.age(d.clk.Now())
-			return silence.Duration().Seconds()
-		})
-		d.meter.Gauge("chestnutlatch_rate_teams", func() float64 { return float64(d.shares.Stats(d.clk.Now()).Teams) })
-		d.meter.Gauge("chestnutlatch_rate_senders", func() float64 { return float64(d.shares.Stats(d.clk.Now()).Senders) })
-	}
-	d.meter.Gauge("chestnutlatch_tickets_open", func() float64 {
-		open, _ := d.guard.TicketStats()
-		return float64(open)
-	})
-}
-
 // Run serves until ctx ends, then stops as planned: no new work, everything
 // accepted is answered, rate slots are released.
 func (d *Daemon) Run(ctx context.Context) error {
