Logs: paths that fail and work again, daemons that join

Cause: a path believed bad, its return and a daemon found in the store changed what a daemon believes without a line; on-call saw refusals without their cause. Changed: path failed (to, cause), path works again (after_ms), daemon joined. Before and after: TestTimeOverIsNoFailedPath wants the line, and none where the peer answers.

--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -142,6 +142,9 @@
 			f.put(&c.Updated[i])
 		}
 	}
+	for _, id := range c.Joined {
+		f.d.log.Info("daemon joined", "member", id)
+	}
 	for i := range c.Gone {
 		m := &c.Gone[i]
 		f.d.log.Info("daemon gone", "member", m.Instance)
--- a/entry/link.go
+++ b/entry/link.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -47,6 +48,7 @@
 	instance    ident.Instance
 	incarnation ident.Incarnation
 	clk         clock.Clock
+	log         hclog.Logger
 	guard       *guard.Guard
 	peers       *peers.Pool
 	picker      *choose.Picker
@@ -70,7 +72,7 @@
 func newLink(base context.Context, d Deps) *link {
 	return &link{
 		base: base, busy: map[string]int{}, doubted: map[string]bool{},
-		instance: d.Instance, incarnation: d.Incarnation, clk: d.Clock,
+		instance: d.Instance, incarnation: d.Incarnation, clk: d.Clock, log: d.Log,
 		guard: d.Guard, peers: d.Peers, picker: d.Picker, fleet: d.Fleet, meter: d.Meter,
 	}
 }
@@ -89,7 +91,7 @@
 		l.doubt(to, address)
 		return nil, err
 	case ctx.Err() == nil:
-		l.failed(to, address)
+		l.failed(to, address, err)
 		return nil, err
 	default:
 		return nil, err
@@ -119,16 +121,17 @@
 			defer l.mu.Unlock()
 			delete(l.doubted, address)
 		}()
-		if !l.answers(address) && l.base.Err() == nil {
-			l.failed(to, address)
+		if err := l.ask(address); err != nil && l.base.Err() == nil {
+			l.failed(to, address, err)
 		}
 	}()
 }
 
 // failed notes a path that does not work and has it probed.
-func (l *link) failed(to ident.Instance, address string) {
+func (l *link) failed(to ident.Instance, address string, cause error) {
 	l.picker.PathFailed(l.clk.Now(), to)
 	if l.picker.HoldPath(to) {
+		l.log.Info("path failed", "to", to, "address", address, "cause", cause)
 		go l.probe(to, address)
 	}
 }
@@ -138,6 +141,7 @@
 func (l *link) probe(to ident.Instance, address string) {
 	l.probing.Add(1)
 	defer l.probing.Add(-1)
+	began := l.clk.Now()
 	for pause := probeFirst; l.picker.IsPathHeld(to); pause = min(2*pause, probeMost) {
 		select {
 		case <-l.base.Done():
@@ -150,8 +154,9 @@
 			l.picker.PathWorks(to)
 			return
 		}
-		if l.answers(address) {
+		if l.ask(address) == nil {
 			l.picker.PathWorks(to)
+			l.log.Info("path works again", "to", to, "address", address, "after_ms", int64(l.clk.Now()-began))
 			return
 		}
 	}
@@ -163,12 +168,13 @@
 	return max(pause, time.Duration(paths)*time.Second/probeRate)
 }
 
-func (l *link) answers(address string) bool {
+// ask checks the daemon at an address.
+func (l *link) ask(address string) error {
 	client, err := l.peers.Get(address)
 	if err != nil {
-		return false
+		return err
 	}
-	return check(l.base, client) == nil
+	return check(l.base, client)
 }
 
 // check asks whether a peer itself answers.
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -1,14 +1,17 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
@@ -152,6 +155,8 @@
 			far.overTime.Store(true)
 			address := far.start(t)
 			s := newSite(t, [2]string{good, good})
+			var lines bytes.Buffer
+			s.link.log = hclog.New(&hclog.LoggerOptions{Output: &lines})
 			s.link.fleet = &farFleet{address: address}
 			_, err := s.link.call(context.Background(), "far", address, &wire.ForwardRequest{})
 			if err == nil {
@@ -168,6 +173,9 @@
 			if got := s.Picker.IsPathHeld("far"); got == answers {
 				t.Errorf("path is held %v although the peer answers checks %v", got, answers)
 			}
+			if got := strings.Contains(lines.String(), "path failed: to=far"); got == answers {
+				t.Errorf("log says %q", lines.String())
+			}
 		})
 	}
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -54,6 +54,8 @@
 type Change struct {
 	// Updated holds the records that are new or newer.
 	Updated []member.Member
+	// Joined names those of them that are new, or in another life.
+	Joined []ident.Instance
 	// Gone holds the records that were dropped.
 	Gone []member.Member
 	// Missing holds the daemons to ask directly whether they live.
@@ -73,6 +75,9 @@
 		listed[f.Member.Instance] = true
 		k := r.members[f.Member.Instance]
 		if k == nil || f.Revision > k.Revision {
+			if k == nil || k.Member.Incarnation != f.Member.Incarnation {
+				c.Joined = append(c.Joined, f.Member.Instance)
+			}
 			r.members[f.Member.Instance] = &known{Found: f}
 			c.Updated = append(c.Updated, f.Member)
 			continue
