--- a/fleet/demo.go
+++ b/fleet/demo.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// partsPath is what targets call on a platform while they work.
+const partsPath = "/parts"
+
+// platformRoutes are the demonstration's routes and that of the targets' calls,
+// which is open.
+func platformRoutes() []record.Route {
+	return append(demoRoutes(), record.Route{
+		ID: "parts", Prefix: partsPath, Service: serviceStores, Open: true, Priority: ident.PriorityNormal, Timeout: demoTimeout,
+	})
+}
+
 // demoTimeout is the time limit of the demonstration's routes, in milliseconds.
 const demoTimeout = 5 * clock.Second
 
@@ -90,7 +101,7 @@
 		teams = append(teams, platform.KeyedTeam{Team: record.Team{ID: t.name, Rate: t.rate, Burst: t.rate}, Keys: []string{key}})
 		out = append(out, load.Team{Name: string(t.name), Key: key, Rate: t.load})
 	}
-	doc, err := platform.WriteDocument(1, demoRoutes(), teams, record.CallerLimits{})
+	doc, err := platform.WriteDocument(1, platformRoutes(), teams, record.CallerLimits{})
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -149,6 +149,9 @@
 	}
 	if f.spec.Adapter != "" {
 		t.args = append(t.args, "--adapter", f.spec.Adapter, "--data-centre", string(dc), "--announce", ports[7])
+		if service == serviceDispatch {
+			t.args = append(t.args, "--call-through", ports[2], "--call-path", partsPath)
+		}
 	}
 	d := &Process{Role: RoleDaemon, Name: "daemon-" + name, Address: ports[2], Control: ports[5], DataCentre: dc, Region: region, Service: service}
 	file, err := f.writeSettings(d, name, ports)
--- a/fleet/platform_test.go
+++ b/fleet/platform_test.go
@@ -71,10 +71,24 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if !v.IsClean() || res.Served == 0 {
+			if !v.IsClean() || res.Served == 0 || f.calls(t) == 0 {
 				t.Errorf("%d of %d served, refused %v, verdict %+v", res.Served, res.Sent, res.Refused, v)
 			}
 			t.Logf("%d of %d served, refused %v, verdict %+v", res.Served, res.Sent, res.Refused, v)
 		})
 	}
 }
+
+// calls returns the number of calls that targets made and that were served.
+func (f *Fleet) calls(t *testing.T) int {
+	t.Helper()
+	n := 0
+	for _, p := range f.Targets {
+		var rec stand.Record
+		if _, err := GetJSON(p.Control, "/record", &rec); err != nil {
+			t.Fatal(err)
+		}
+		n += rec.Calls - rec.CallsFailed
+	}
+	return n
+}
--- a/rigs/target.go
+++ b/rigs/target.go
@@ -34,6 +34,8 @@
 	Announce   string
 	Adapter    string
 	DataCentre string
+	CallVia    string
+	CallPath   string
 	Slots      int
 	Work       time.Duration
 	ColdFor    time.Duration
@@ -56,6 +58,9 @@
 			if opts.Adapter != "" && opts.Adapter != setup.AdapterKV {
 				return &cmdkit.FlagError{Flag: "adapter", Remedy: "use " + setup.AdapterKV + " or leave it out"}
 			}
+			if (opts.CallVia == "") != (opts.CallPath == "") || opts.CallVia != "" && opts.Adapter == "" {
+				return &cmdkit.FlagError{Flag: "call-through", Remedy: "give it with --call-path and --adapter, or leave both out"}
+			}
 			if runF != nil {
 				return runF(opts)
 			}
@@ -70,6 +75,8 @@
 	fl.StringVar(&opts.Announce, "announce", "", "operator address of the daemon beside the target")
 	fl.StringVar(&opts.Adapter, "adapter", "", "speak the interface of the platform with this adapter (kv); empty is the product's own")
 	fl.StringVar(&opts.DataCentre, "data-centre", "", "data centre named in heartbeats, with --adapter")
+	fl.StringVar(&opts.CallVia, "call-through", "", "address of a daemon through which each request calls --call-path, with --adapter")
+	fl.StringVar(&opts.CallPath, "call-path", "", "path of the calls; requests for it make none")
 	fl.IntVar(&opts.Slots, "slots", 5, "requests served at once")
 	fl.DurationVar(&opts.Work, "work", 5*time.Millisecond, "mean service time")
 	fl.DurationVar(&opts.ColdFor, "cold", 0, "time after the start in which the target is slow")
@@ -87,6 +94,7 @@
 	tell := announce
 	if opts.Adapter != "" {
 		cfg.Dialect = platform.Adapter().Dialect
+		cfg.CallThrough, cfg.CallPath = opts.CallVia, opts.CallPath
 		tell = sendBeats
 	}
 	t := stand.NewTarget(cfg, clock.NewSystem())
--- a/stand/target.go
+++ b/stand/target.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -56,8 +57,15 @@
 	// Dialect is the interface between daemon and target; the zero value is the
 	// product's own.
 	Dialect guard.Dialect
+	// CallThrough is the address of the daemon through which each request calls
+	// CallPath while it is worked on; empty makes no calls.
+	CallThrough string
+	CallPath    string
 }
 
+// callLimit bounds a call, in milliseconds.
+const callLimit = 400 * clock.Millisecond
+
 // Record is what a target has seen.
 type Record struct {
 	Target ident.Target `json:"target"`
@@ -69,6 +77,9 @@
 	KeysSeen int `json:"keys_seen"`
 	// Canceled counts the requests whose connection closed during the work.
 	Canceled int `json:"canceled"`
+	// Calls counts the calls that the target made.
+	Calls       int `json:"calls"`
+	CallsFailed int `json:"calls_failed"`
 }
 
 // Target is a stand-in target.
@@ -83,6 +94,8 @@
 	busy   int
 	rec    Record
 	conns  map[*silentConn]bool
+	// calls makes the target's own calls, each once.
+	calls *fasthttp.Client
 }
 
 // NewTarget returns a target that is cold from now on.
@@ -92,6 +105,10 @@
 		rnd:   rand.New(rand.NewPCG(cfg.Seed, 1)),
 		rec:   Record{Target: cfg.ID, Runs: map[string]int{}},
 		conns: map[*silentConn]bool{},
+		calls: &fasthttp.Client{
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		},
 	}
 }
 
@@ -188,6 +205,7 @@
 		return
 	}
 	time.Sleep(p.work)
+	p.fail = p.fail || !t.call(c)
 	t.end()
 	switch {
 	case p.hang:
@@ -204,6 +222,30 @@
 	}
 }
 
+// call makes the call that belongs to a request and reports whether it was served.
+// The id of a call is that of its request with a mark.
+func (t *Target) call(c *fasthttp.RequestCtx) bool {
+	d := t.cfg.Dialect
+	if t.cfg.CallThrough == "" || strings.HasPrefix(string(c.Path()), t.cfg.CallPath) {
+		return true
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + t.cfg.CallThrough + t.cfg.CallPath)
+	req.Header.Set(d.Attempt, string(c.Request.Header.Peek(d.Attempt))+".c1")
+	req.Header.Set(d.Timeout, strconv.FormatInt(int64(callLimit), 10))
+	err := t.calls.DoTimeout(req, resp, callLimit.Duration())
+	ok := err == nil && resp.StatusCode() == fasthttp.StatusOK
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rec.Calls++
+	if !ok {
+		t.rec.CallsFailed++
+	}
+	return ok
+}
+
 // hijackClose writes raw bytes and closes the connection.
 func hijackClose(c *fasthttp.RequestCtx, raw string) {
 	c.HijackSetNoResponse(true)
