--- a/fleet/demo.go
+++ b/fleet/demo.go
@@ -137,9 +137,9 @@
 	return []string{serviceStatus, serviceDispatch, serviceStores}
 }
 
-// Dialect sets in a load what callers of a platform send; an empty adapter
+// OnPlatform sets in a load what callers of a platform send; an empty adapter
 // changes nothing.
-func Dialect(cfg load.Config, adapter string) load.Config {
+func OnPlatform(cfg load.Config, adapter string) load.Config {
 	if adapter != "" {
 		d := platform.Adapter().Dialect
 		cfg.Attempt, cfg.Remaining = d.Attempt, d.Timeout
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,6 +107,7 @@
 		return err
 	}
 	f.Store = &Process{Role: RoleStore, Name: "store", Address: ports[0], Control: ports[1]}
+	// The stand-in of a platform's store is named like the adapter.
 	kind := "store"
 	if f.spec.Adapter != "" {
 		kind = f.spec.Adapter
@@ -185,7 +186,7 @@
 
 [rate]
 slots = %d
-%s`, name, d.DataCentre, d.Region, ports[2], ports[3], ports[4], ports[5], fleetSecret, f.logLevel(), f.Store.Address, f.spec.RateSlots, f.onPlatform(d, ports))
+%s`, name, d.DataCentre, d.Region, ports[2], ports[3], ports[4], ports[5], fleetSecret, f.logLevel(), f.Store.Address, f.spec.RateSlots, f.platformSettings(d, ports))
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
 
@@ -197,8 +198,8 @@
 	return f.spec.LogLevels[len(f.Daemons)%len(f.spec.LogLevels)]
 }
 
-// onPlatform returns a daemon's settings for the platform.
-func (f *Fleet) onPlatform(d *Process, ports []string) string {
+// platformSettings returns a daemon's settings for the platform.
+func (f *Fleet) platformSettings(d *Process, ports []string) string {
 	if f.spec.Adapter == "" {
 		return ""
 	}
--- a/fleet/platform_test.go
+++ b/fleet/platform_test.go
@@ -63,7 +63,7 @@
 		t.Run(p.name, func(t *testing.T) {
 			p.hurt(t)
 			defer p.mend(t)
-			res := load.Run(context.Background(), Dialect(load.Config{
+			res := load.Run(context.Background(), OnPlatform(load.Config{
 				Entries: f.Entries(), Teams: teams, Paths: DemoPaths(), Duration: 2 * time.Second, Timeout: 3 * time.Second,
 				Repeats: 3, Seed: uint64(i + 1), Label: "platform",
 			}, setup.AdapterKV))
--- a/rigs/demo.go
+++ b/rigs/demo.go
@@ -133,7 +133,7 @@
 		Entries: f.Entries(), Teams: teams, Paths: fleet.DemoPaths()[:1], Duration: 2 * time.Second,
 		Timeout: 3 * time.Second, Seed: opts.Seed, Label: "quiet",
 	}
-	through := load.Run(ctx, fleet.Dialect(lookups, opts.Adapter))
+	through := load.Run(ctx, fleet.OnPlatform(lookups, opts.Adapter))
 	var quiet *load.Result
 	if opts.Adapter == "" {
 		// Targets of a platform want to be named, which only daemons do.
@@ -141,7 +141,7 @@
 	}
 	hurt := make(chan error, 1)
 	go func() { hurt <- hurtFleet(ctx, opts, f) }()
-	res := load.Run(ctx, fleet.Dialect(load.Config{
+	res := load.Run(ctx, fleet.OnPlatform(load.Config{
 		Entries: f.Entries(), Teams: teams, Paths: fleet.DemoPaths(), Duration: opts.Duration,
 		Timeout: 3 * time.Second, Repeats: 6, Seed: opts.Seed, Rush: 1.5, Label: "demo",
 	}, opts.Adapter))
--- a/rigs/load.go
+++ b/rigs/load.go
@@ -106,7 +106,7 @@
 	if opts.Direct {
 		straight = load.Direct(ctx, direct, rate, opts.Duration, opts.Seed)
 	}
-	return printResult(opts.Streams, load.Run(ctx, fleet.Dialect(cfg, demo.Adapter)), straight, opts.JSON)
+	return printResult(opts.Streams, load.Run(ctx, fleet.OnPlatform(cfg, demo.Adapter)), straight, opts.JSON)
 }
 
 // printResult writes what callers saw.
