After a last reading: one piece where two did the same

Behaviour is unchanged. Simpler: a failed call is judged in one place of link.call; the time since a noted moment is one function for two gauges and the asking of peers; the bound on heads that nobody read is gone from callerLimits. The process test of the platform has its six daemons in two regions now. Seen and left: the fixed seeds of rapid stand in a TestMain of every package, as Go wants one there; heartbeats and documents are still written out by hand in the tests of platform/, as an oracle for what writes them; a daemon's ping of a peer in daemon/ and the check in entry/ differ in their time.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -123,17 +123,15 @@
 	return &callerConn{Conn: c, clk: l.d.clk, limits: l.d.callerLimits}, nil
 }
 
-// callerLimits returns the bounds on callers: the operators', and the daemon's
-// own where they give none. What a daemon can hold goes before their word.
+// callerLimits returns the bounds on callers' bodies and times: the operators',
+// and the daemon's own where they give none. What a daemon can hold goes before
+// their word. The bound on a head is the entry's and the read buffer's.
 func (d *Daemon) callerLimits() record.CallerLimits {
 	l := d.table.CallerLimits()
 	most := hardBodyFactor * d.cfg.MaxRequestBytes
 	if l.BodyBytes == 0 || l.BodyBytes > most {
 		l.BodyBytes = most
 	}
-	if l.HeadBytes == 0 || l.HeadBytes > maxHead {
-		l.HeadBytes = maxHead
-	}
 	if l.HeadTime == 0 {
 		l.HeadTime = d.cfg.ReadTimeout
 	}
--- a/daemon/docs.go
+++ b/daemon/docs.go
@@ -63,16 +63,12 @@
 	}
 }
 
-// age returns how long the configuration has been in force, and silence how long
-// the store has not answered.
-func (s *docs) age(now clock.Millis) (age, silence clock.Millis) {
-	if at := s.installed.Load(); at > 0 {
-		age = now - clock.Millis(at)
+// since returns the time from a noted moment, 0 if none is noted.
+func since(now clock.Millis, moment *atomic.Int64) clock.Millis {
+	if at := clock.Millis(moment.Load()); at > 0 {
+		return now - at
 	}
-	if since := s.failing.Load(); since > 0 {
-		silence = now - clock.Millis(since)
-	}
-	return age, silence
+	return 0
 }
 
 func newDocs(d *Daemon) *docs {
@@ -184,7 +180,7 @@
 			time.Sleep(peerWait)
 			s.pullAhead(ctx, address)
 		case <-ask.C:
-			if since := s.failing.Load(); since > 0 && s.d.clk.Now()-clock.Millis(since) > clock.FromDuration(docRetryMost) {
+			if since(s.d.clk.Now(), &s.failing) > clock.FromDuration(docRetryMost) {
 				s.askAround(ctx)
 			}
 		}
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -12,12 +12,10 @@
 	d.meter.Gauge("chestnutlatch_retries_left", func() float64 { return d.picker.RetriesLeft() })
 	if d.platform != nil {
 		d.meter.Gauge("chestnutlatch_config_age_seconds", func() float64 {
-			age, _ := d.docs.age(d.clk.Now())
-			return age.Duration().Seconds()
+			return since(d.clk.Now(), &d.docs.installed).Duration().Seconds()
 		})
 		d.meter.Gauge("chestnutlatch_store_silent_seconds", func() float64 {
-			_, silence := d.docs.age(d.clk.Now())
-			return silence.Duration().Seconds()
+			return since(d.clk.Now(), &d.docs.failing).Duration().Seconds()
 		})
 		d.meter.Gauge("chestnutlatch_rate_teams", func() float64 { return float64(d.shares.Stats(d.clk.Now()).Teams) })
 		d.meter.Gauge("chestnutlatch_rate_senders", func() float64 { return float64(d.shares.Stats(d.clk.Now()).Senders) })
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -108,18 +108,11 @@
 }
 
 func (m *members) tick(ctx context.Context) {
-	ticker := time.NewTicker(memberTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.mu.Lock()
-			m.carryOut(m.view.Tick(m.d.clk.Now()))
-			m.mu.Unlock()
-		}
-	}
+	every(ctx, memberTick, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.carryOut(m.view.Tick(m.d.clk.Now()))
+	})
 }
 
 // carryOut does what the view asks for. The caller holds mu.
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -229,8 +229,8 @@
 func (f *rosterFleet) meet(self []byte) [][]byte {
 	f.learn(self)
 	var out [][]byte
-	for _, m := range append(f.others(func(*member.Member) bool { return true }), f.own()) {
-		if b, err := member.EncodeMember(&m); err == nil {
+	for _, m := range f.known() {
+		if b, err := member.EncodeMember(m); err == nil {
 			out = append(out, b)
 		}
 	}
--- a/entry/link.go
+++ b/entry/link.go
@@ -85,15 +85,13 @@
 		return l.guard.Forward(ctx, req), nil
 	}
 	reply, err := l.remote(ctx, address, req)
-	switch {
-	case err == nil:
-	case isOverTime(ctx, err):
-		l.doubt(to, address)
-		return nil, err
-	case ctx.Err() == nil:
-		l.failed(to, address, err)
-		return nil, err
-	default:
+	if err != nil {
+		switch {
+		case isOverTime(ctx, err):
+			l.doubt(to, address)
+		case ctx.Err() == nil:
+			l.failed(to, address, err)
+		}
 		return nil, err
 	}
 	l.picker.PathWorks(to)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -26,7 +26,8 @@
 	return bin
 }
 
-func startFleet(t *testing.T) (*Fleet, []load.Team) {
+// startFleet starts six daemons in two data centres; an adapter names a platform.
+func startFleet(t *testing.T, adapter string) (*Fleet, []load.Team) {
 	t.Helper()
 	var services []ident.Service
 	for _, s := range DemoServices() {
@@ -34,7 +35,7 @@
 	}
 	f, err := Start(Spec{
 		Bin: buildPrograms(t), Dir: filepath.Join(t.TempDir(), "fleet"), Regions: 2, CentresPerRegion: 1,
-		TargetsPerCentre: 3, Services: services, Slots: 5, WorkMillis: 5, RateSlots: 6,
+		TargetsPerCentre: 3, Services: services, Slots: 5, WorkMillis: 5, RateSlots: 6, Adapter: adapter,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -61,7 +62,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	f, teams := startFleet(t)
+	f, teams := startFleet(t, "")
 	paths := []load.Path{{Path: "/bookings", OneTime: true, Part: 0.6}, {Path: "/vouchers", OneTime: true, Part: 0.4}}
 	phases := []struct {
 		name  string
--- a/fleet/platform_test.go
+++ b/fleet/platform_test.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"net/http"
-	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
 
-	"chestnutlatch/ident"
 	"chestnutlatch/load"
 	"chestnutlatch/setup"
 	"chestnutlatch/stand"
@@ -21,22 +19,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	f, err := Start(Spec{
-		Bin: buildPrograms(t), Dir: filepath.Join(t.TempDir(), "fleet"), Regions: 1, CentresPerRegion: 2, TargetsPerCentre: 3,
-		Services: []ident.Service{serviceStatus, serviceDispatch, serviceStores}, Slots: 5, WorkMillis: 5, RateSlots: 6,
-		Adapter: setup.AdapterKV,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(f.Stop)
-	teams, err := f.Configure()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := f.WaitReady(); err != nil {
-		t.Fatal(err)
-	}
+	f, teams := startFleet(t, setup.AdapterKV)
 	mood := func(m string) func(*testing.T) {
 		return func(t *testing.T) {
 			req, err := http.NewRequest(http.MethodPut, "http://"+f.Store.Control+"/mood?mood="+m, nil)
--- a/fleet/promise_test.go
+++ b/fleet/promise_test.go
@@ -60,7 +60,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	f, teams := startFleet(t)
+	f, teams := startFleet(t, "")
 	t.Run("caller interface", func(t *testing.T) { testCallerInterface(t, f, teams[0].Key) })
 	t.Run("withdrawn key", func(t *testing.T) { testWithdrawnKey(t, f) })
 	t.Run("restart while the store is away", func(t *testing.T) { testRestartInOutage(t, f) })
--- a/limit/share_test.go
+++ b/limit/share_test.go
@@ -46,6 +46,15 @@
 	}
 }
 
+// tellAll lets all daemons hear those of their data centre.
+func (s *sharers) tellAll(now clock.Millis) {
+	for dc := range s.dcs {
+		for from := range s.dcs[dc] {
+			s.tell(now, dc, from)
+		}
+	}
+}
+
 // TestSharesKeepTheTeamsBound floods every daemon, with messages each 100 to
 // 250 ms of which some are lost, and counts what all admit together in every
 // window.
@@ -111,11 +120,7 @@
 			}
 		}
 		if now%100 == 1 {
-			for dc := range s.dcs {
-				for from := range s.dcs[dc] {
-					s.tell(now, dc, from)
-				}
-			}
+			s.tellAll(now)
 		}
 	}
 	if refused*100 > asked {
@@ -140,13 +145,8 @@
 					refused++
 				}
 			}
-			if now%100 != 1 {
-				continue
-			}
-			for dc := range s.dcs {
-				for from := range s.dcs[dc] {
-					s.tell(now, dc, from)
-				}
+			if now%100 == 1 {
+				s.tellAll(now)
 			}
 		}
 	}
--- a/trial/fair.go
+++ b/trial/fair.go
@@ -1,7 +1,6 @@
 package trial
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"sort"
 
@@ -109,11 +108,7 @@
 	for i := range fairDemand {
 		r.arrive(i, 0)
 	}
-	for r.agenda.Len() > 0 {
-		next := heap.Pop(&r.agenda).(arrival)
-		r.now = next.at
-		next.run()
-	}
+	r.agenda.play(&r.now)
 	return r.sum()
 }
 
--- a/trial/rate.go
+++ b/trial/rate.go
@@ -135,6 +135,15 @@
 	return last
 }
 
+// play runs everything in order of time, and keeps the time.
+func (a *agenda) play(now *clock.Millis) {
+	for a.Len() > 0 {
+		next := heap.Pop(a).(arrival)
+		*now = next.at
+		next.run()
+	}
+}
+
 func (a *agenda) add(at clock.Millis, run func()) {
 	a.next++
 	heap.Push(a, arrival{at: at, order: a.next, run: run})
@@ -177,11 +186,7 @@
 		r.ideal[i] = exact{level: float64(a.Burst), a: a}
 		r.schedule(script, admit, i, rand.New(rand.NewPCG(seed, uint64(i))), 0)
 	}
-	for r.agenda.Len() > 0 {
-		next := heap.Pop(&r.agenda).(arrival)
-		r.now = next.at
-		next.run()
-	}
+	r.agenda.play(&r.now)
 	r.result.WorstTeam = 1
 	for i := range rateTeams {
 		r.result.Wrong += max(0, r.right[i]-r.served[i])
--- a/trial/rush.go
+++ b/trial/rush.go
@@ -1,7 +1,6 @@
 package trial
 
 import (
-	"container/heap"
 	"math/rand/v2"
 
 	"chestnutlatch/clock"
@@ -171,11 +170,7 @@
 	for team := range rushTeams {
 		r.arrive(team, 0)
 	}
-	for r.agenda.Len() > 0 {
-		next := heap.Pop(&r.agenda).(arrival)
-		r.now = next.at
-		next.run()
-	}
+	r.agenda.play(&r.now)
 	return r.sum()
 }
 
