fleet: wait for the store before it is configured

PutJSON and DeleteJSON also took any status for success.

Change: Configure waits until both addresses of the store accept connections; PutJSON and DeleteJSON return an error from status 300 on.

Result: TestConfigureWaitsForTheStore, which starts the store a second late, failed for both kinds of store before (connection refused) and passes. TestSendJSONReportsTheStatus failed before and passes.

--- a/fleet/demo.go
+++ b/fleet/demo.go
@@ -63,9 +63,12 @@
 const demoTimeout = 5 * clock.Second
 
 // Configure writes the demonstration's routes, teams and keys to the store, and
-// returns the teams with their keys and the load that each sends. It does not wait
-// until the daemons have applied them.
+// returns the teams with their keys and the load that each sends. It waits until the
+// store listens, but not until the daemons have applied the records.
 func (f *Fleet) Configure() ([]load.Team, error) {
+	if err := f.waitStore(); err != nil {
+		return nil, err
+	}
 	if f.spec.Adapter != "" {
 		return f.configurePlatform()
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"chestnutlatch/ident"
 	"chestnutlatch/load"
+	"chestnutlatch/setup"
 	"chestnutlatch/stand"
 )
 
@@ -140,3 +144,41 @@
 		}
 	}
 }
+
+// TestConfigureWaitsForTheStore starts the store a second after Configure was called.
+// Configure must wait for it.
+func TestConfigureWaitsForTheStore(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	bin := buildPrograms(t)
+	for _, adapter := range []string{"", setup.AdapterKV} {
+		f, err := Start(Spec{BinDir: bin, Dir: filepath.Join(t.TempDir(), "fleet"), Adapter: adapter})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(f.Stop)
+		if err := f.Store.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		started := make(chan error, 1)
+		time.AfterFunc(time.Second, func() { started <- f.Restart(f.Store) })
+		if _, err := f.Configure(); err != nil {
+			t.Errorf("adapter %q: %v", adapter, err)
+		}
+		if err := <-started; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestSendJSONReportsTheStatus checks that a request which the other side refuses is
+// an error.
+func TestSendJSONReportsTheStatus(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadRequest) }))
+	defer srv.Close()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	if PutJSON(address, "/", 1) == nil || DeleteJSON(address, "/", 1) == nil {
+		t.Error("no error for status 400")
+	}
+}
--- a/fleet/wait.go
+++ b/fleet/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -13,6 +14,26 @@
 	"chestnutlatch/ident"
 )
 
+// waitStore waits until the store's stand-in accepts connections on both of its
+// addresses. It returns an error with the end of the store's log after readyTimeout.
+func (f *Fleet) waitStore() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, address := range []string{f.Store.Address, f.Store.Control} {
+		for {
+			conn, err := net.DialTimeout("tcp", address, time.Second)
+			if err == nil {
+				_ = conn.Close()
+				break
+			}
+			if time.Now().After(deadline) {
+				return errors.Errorf("store does not listen on %s in time; its log ends with:\n%s", address, f.logTail(f.Store))
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+	return nil
+}
+
 // WaitReady waits until every daemon is ready and lists the targets of all daemons.
 // It returns an error with the end of a daemon's log if that daemon exits or is not
 // ready within readyTimeout.
@@ -146,14 +167,14 @@
 	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(v)
 }
 
-// PutJSON sends v as the JSON body of a PUT request. It ignores the status of the
-// response.
+// PutJSON sends v as the JSON body of a PUT request. A status from 300 on is an
+// error.
 func PutJSON(address, path string, v any) error {
 	return sendJSON(http.MethodPut, address, path, v)
 }
 
-// DeleteJSON sends v as the JSON body of a DELETE request. It ignores the status of
-// the response.
+// DeleteJSON sends v as the JSON body of a DELETE request. A status from 300 on is an
+// error.
 func DeleteJSON(address, path string, v any) error {
 	return sendJSON(http.MethodDelete, address, path, v)
 }
@@ -171,5 +192,9 @@
 	if err != nil {
 		return err
 	}
-	return resp.Body.Close()
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return errors.Errorf("%s %s%s returned status %d", method, address, path, resp.StatusCode)
+	}
+	return nil
 }
