table: put a change in force in one step

Cause: Apply removed a record before it inserted the new one, each under the lock of a shard. A lookup in between missed a valid key, team or route: callers got 401 or 404 for what every configuration allows.

Change: one lock for the content, which Apply holds during a whole change; the locks of shards and of the host index go.

--- a/table/bench_test.go
+++ b/table/bench_test.go
@@ -27,11 +27,11 @@
 	b := NewBuilder()
 	for i := range teams {
 		id := ident.Team(fmt.Sprintf("team-%06d", i))
-		b.table.insert(record.Team{ID: id, Rate: 20, Burst: 40, Weight: 1}, nil)
-		b.table.insert(keyFor(nil, id), nil)
+		b.insert(record.Team{ID: id, Rate: 20, Burst: 40, Weight: 1}, nil)
+		b.insert(keyFor(nil, id), nil)
 	}
 	for i := range routes {
-		b.table.insert(record.Route{
+		b.insert(record.Route{
 			ID: ident.Route(fmt.Sprintf("route-%05d", i)), Host: fmt.Sprintf("s%d.example.org", i%520),
 			Prefix: fmt.Sprintf("/v1/object%d", i), Service: ident.Service(fmt.Sprintf("service-%03d", i%520)), Timeout: 10_000,
 		}, nil)
--- a/table/host_index.go
+++ b/table/host_index.go
@@ -2,15 +2,13 @@
 
 import (
 	"strings"
-	"sync"
 
 	"chestnutlatch/ident"
 )
 
 // hostIndex maps a host and path prefix to a route id. An item is the host, the
-// prefix and the route id, joined by zero bytes. It is safe for concurrent use.
+// prefix and the route id, joined by zero bytes. It is not safe for concurrent use.
 type hostIndex struct {
-	mu    sync.RWMutex
 	items *arena
 }
 
@@ -36,8 +34,6 @@
 // put adds or replaces the route of a host and prefix.
 func (x *hostIndex) put(host, prefix string, id ident.Route) {
 	key := hostKey(host, prefix)
-	x.mu.Lock()
-	defer x.mu.Unlock()
 	if _, slot := x.items.find(hashString(key), matchHostKey(key)); slot >= 0 {
 		x.items.remove(slot)
 	}
@@ -47,8 +43,6 @@
 // get returns the route of exactly this host and prefix.
 func (x *hostIndex) get(host, prefix string) (ident.Route, bool) {
 	key := hostKey(host, prefix)
-	x.mu.RLock()
-	defer x.mu.RUnlock()
 	item, slot := x.items.find(hashString(key), matchHostKey(key))
 	if slot < 0 {
 		return "", false
@@ -59,8 +53,6 @@
 // remove deletes the item of a host and prefix if it maps to the given route.
 func (x *hostIndex) remove(host, prefix string, id ident.Route) {
 	key := hostKey(host, prefix)
-	x.mu.Lock()
-	defer x.mu.Unlock()
 	item, slot := x.items.find(hashString(key), matchHostKey(key))
 	if slot >= 0 && string(item[len(key)+1:]) == string(id) {
 		x.items.remove(slot)
@@ -68,7 +60,5 @@
 }
 
 func (x *hostIndex) bytes() int {
-	x.mu.RLock()
-	defer x.mu.RUnlock()
 	return x.items.bytes()
 }
--- a/table/snapshot.go
+++ b/table/snapshot.go
@@ -95,20 +95,25 @@
 	if decoded, err := record.Decode(k, record.IDOf(body), raw); len(raw) > 0 && err == nil {
 		body = decoded
 	}
-	b.table.insert(body, raw)
+	b.insert(body, raw)
 	return nil
 }
 
 // AddItem adds one record of the store's snapshot. A record that cannot be decoded or
 // is too large is skipped and counted. The error is always nil.
 func (b *Builder) AddItem(item config.Item) error {
-	b.table.applyItem(record.Item{Kind: item.Kind, ID: item.ID, After: item.Record})
+	b.table.skipped += b.table.content.Load().applyItem(record.Item{Kind: item.Kind, ID: item.ID, After: item.Record})
 	return nil
 }
 
 // Put adds a record that the caller has decoded and checked. A record that is too
 // large is skipped and counted.
-func (b *Builder) Put(body record.Body) { b.table.insert(body, nil) }
+func (b *Builder) Put(body record.Body) { b.insert(body, nil) }
+
+// insert adds a record. One that is too large is skipped and counted.
+func (b *Builder) insert(body record.Body, raw []byte) {
+	b.table.skipped += b.table.content.Load().insert(body, raw)
+}
 
 // SetCallerLimits sets the limits on callers.
 func (b *Builder) SetCallerLimits(l record.CallerLimits) { b.table.content.Load().limits = l }
--- a/table/table.go
+++ b/table/table.go
@@ -28,7 +28,6 @@
 
 // shard holds a part of the records of one kind.
 type shard struct {
-	mu sync.RWMutex
 	// items holds compact records, hashed by id; keys by their SHA-256.
 	items *arena
 }
@@ -36,6 +35,9 @@
 // content holds the records of a table. A snapshot replaces it as a whole: a lookup
 // never uses a partly loaded snapshot.
 type content struct {
+	// mu guards shards and hosts. Apply holds it during a whole change, so that a
+	// lookup sees all records of a change or none.
+	mu     sync.RWMutex
 	shards [kindCount][shardCount]shard
 	// hosts finds the id of a route by host and prefix.
 	hosts hostIndex
@@ -122,9 +124,8 @@
 
 // Apply puts an encoded change in force and keeps it for Changes; the caller must not
 // modify encoded afterwards. A change at or below the table's revision is ignored. A
-// lookup during Apply may see only a part of the change, or miss a record that is
-// being replaced. Apply returns a *GapError if earlier changes are missing, and
-// another error if the change cannot be decoded.
+// lookup during Apply sees the whole change or none of it. Apply returns a *GapError
+// if earlier changes are missing, and another error if the change cannot be decoded.
 func (t *Table) Apply(encoded []byte) error {
 	c, err := record.DecodeChange(encoded)
 	if err != nil {
@@ -139,9 +140,12 @@
 	if c.Revision != current+1 {
 		return &GapError{Current: current, Got: c.Revision}
 	}
+	content := t.content.Load()
+	content.mu.Lock()
 	for _, item := range c.Items {
-		t.applyItem(item)
+		t.skipped += content.applyItem(item)
 	}
+	content.mu.Unlock()
 	t.history = append(t.history, encoded)
 	if len(t.history) > historyLimit {
 		t.history = append([][]byte(nil), t.history[historyLimit/2:]...)
@@ -150,19 +154,19 @@
 	return nil
 }
 
-// applyItem replaces one record. A record that cannot be decoded is removed, since
-// keeping its old content would undo an accepted change.
-func (t *Table) applyItem(item record.Item) {
-	t.removeRecord(item.Kind, item.ID, item.Before)
+// applyItem replaces one record and returns the number of skipped records, 0 or 1. A
+// record that cannot be decoded is removed, since keeping its old content would undo
+// an accepted change.
+func (c *content) applyItem(item record.Item) (skipped int) {
+	c.removeRecord(item.Kind, item.ID, item.Before)
 	if len(item.After) == 0 {
-		return
+		return 0
 	}
 	body, err := record.Decode(item.Kind, item.ID, item.After)
 	if err != nil {
-		t.skipped++
-		return
+		return 1
 	}
-	t.insert(body, rawWithUnknownFields(body, item.After))
+	return c.insert(body, rawWithUnknownFields(body, item.After))
 }
 
 // rawWithUnknownFields returns raw if it has fields that this version does not
@@ -174,52 +178,49 @@
 	return nil
 }
 
-// insert adds or replaces a record. An item above maxItemBytes is skipped and counted.
-func (t *Table) insert(body record.Body, raw []byte) {
+// insert adds or replaces a record and returns the number of skipped records, 0 or 1.
+// An item above maxItemBytes is skipped.
+func (c *content) insert(body record.Body, raw []byte) (skipped int) {
 	item := record.AppendCompact(nil, body, raw)
 	if len(item) > maxItemBytes {
-		t.skipped++
-		return
+		return 1
 	}
 	k := record.KindOf(body)
 	h := itemHash(k)(item)
-	s := t.shard(k, h)
-	s.mu.Lock()
+	s := c.shard(k, h)
 	id := record.CompactID(item)
 	if _, slot := s.items.find(h, func(other []byte) bool { return bytes.Equal(record.CompactID(other), id) }); slot >= 0 {
 		s.items.remove(slot)
 	}
 	s.items.insert(item)
-	s.mu.Unlock()
 	if r, ok := body.(record.Route); ok {
-		t.content.Load().hosts.put(r.Host, r.Prefix, r.ID)
+		c.hosts.put(r.Host, r.Prefix, r.ID)
 	}
+	return 0
 }
 
 // removeRecord removes a record if it is present. before, its previous stored form, is
 // used only for keys, which are indexed by their hash instead of their id.
-func (t *Table) removeRecord(k record.Kind, id string, before []byte) {
+func (c *content) removeRecord(k record.Kind, id string, before []byte) {
 	switch k {
 	case record.KindKey:
 		if body, err := record.Decode(k, id, before); err == nil {
 			key, _ := body.(record.Key)
-			t.removeItem(k, keyHash(key.Hash), id)
+			c.removeItem(k, keyHash(key.Hash), id)
 		}
 	case record.KindRoute:
-		if r, ok := t.RouteByID(ident.Route(id)); ok {
-			t.content.Load().hosts.remove(r.Host, r.Prefix, r.ID)
+		if r, ok := c.route(ident.Route(id)); ok {
+			c.hosts.remove(r.Host, r.Prefix, r.ID)
 		}
-		t.removeItem(k, hashString(id), id)
+		c.removeItem(k, hashString(id), id)
 	default:
-		t.removeItem(k, hashString(id), id)
+		c.removeItem(k, hashString(id), id)
 	}
 }
 
 // removeItem removes the item with the given hash and id.
-func (t *Table) removeItem(k record.Kind, h uint64, id string) {
-	s := t.shard(k, h)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (c *content) removeItem(k record.Kind, h uint64, id string) {
+	s := c.shard(k, h)
 	_, slot := s.items.find(h, func(item []byte) bool { return string(record.CompactID(item)) == id })
 	if slot >= 0 {
 		s.items.remove(slot)
@@ -228,17 +229,15 @@
 
 // shard returns the shard of a hash, chosen by its top four bits. The index within
 // the shard uses the low bits.
-func (t *Table) shard(k record.Kind, h uint64) *shard {
-	return &t.content.Load().shards[k][h>>60&(shardCount-1)]
+func (c *content) shard(k record.Kind, h uint64) *shard {
+	return &c.shards[k][h>>60&(shardCount-1)]
 }
 
-// lookup returns the record with the given id, of any kind except keys.
-func (t *Table) lookup(k record.Kind, id string) (record.Body, bool) {
+// lookup returns the record with the given id, of any kind except keys. The caller
+// holds mu.
+func (c *content) lookup(k record.Kind, id string) (record.Body, bool) {
 	h := hashString(id)
-	s := t.shard(k, h)
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	item, slot := s.items.find(h, func(item []byte) bool { return string(record.CompactID(item)) == id })
+	item, slot := c.shard(k, h).items.find(h, func(item []byte) bool { return string(record.CompactID(item)) == id })
 	if slot < 0 {
 		return nil, false
 	}
@@ -246,22 +245,46 @@
 	return body, err == nil
 }
 
-// Team returns a team record. It returns false if the team is unknown.
-func (t *Table) Team(id ident.Team) (record.Team, bool) {
-	body, ok := t.lookup(record.KindTeam, string(id))
+// route returns a route record. The caller holds mu.
+func (c *content) route(id ident.Route) (record.Route, bool) {
+	body, ok := c.lookup(record.KindRoute, string(id))
+	if !ok {
+		return record.Route{}, false
+	}
+	return body.(record.Route), true
+}
+
+// team returns a team record. The caller holds mu.
+func (c *content) team(id ident.Team) (record.Team, bool) {
+	body, ok := c.lookup(record.KindTeam, string(id))
 	if !ok {
 		return record.Team{}, false
 	}
 	return body.(record.Team), true
 }
 
+// lookup returns the record with the given id, of any kind except keys.
+func (t *Table) lookup(k record.Kind, id string) (record.Body, bool) {
+	c := t.content.Load()
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.lookup(k, id)
+}
+
+// Team returns a team record. It returns false if the team is unknown.
+func (t *Table) Team(id ident.Team) (record.Team, bool) {
+	c := t.content.Load()
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.team(id)
+}
+
 // RouteByID returns a route record. It returns false if the route is unknown.
 func (t *Table) RouteByID(id ident.Route) (record.Route, bool) {
-	body, ok := t.lookup(record.KindRoute, string(id))
-	if !ok {
-		return record.Route{}, false
-	}
-	return body.(record.Route), true
+	c := t.content.Load()
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.route(id)
 }
 
 // Draining reports whether the configuration drains a target.
@@ -285,10 +308,11 @@
 func (t *Table) TeamByKey(key string) (record.Team, bool) {
 	sum := sha256.Sum256([]byte(key))
 	h := keyHash(sum)
-	s := t.shard(record.KindKey, h)
-	s.mu.RLock()
+	c := t.content.Load()
+	c.mu.RLock()
+	defer c.mu.RUnlock()
 	var team ident.Team
-	_, slot := s.items.find(h, func(item []byte) bool {
+	_, slot := c.shard(record.KindKey, h).items.find(h, func(item []byte) bool {
 		body, _, err := record.ParseCompact(record.KindKey, item)
 		k, ok := body.(record.Key)
 		if err != nil || !ok || k.Hash != sum {
@@ -297,22 +321,23 @@
 		team = k.Team
 		return true
 	})
-	s.mu.RUnlock()
 	if slot < 0 {
 		return record.Team{}, false
 	}
-	return t.Team(team)
+	return c.team(team)
 }
 
 // Match returns the route with the longest prefix of path. Prefixes match whole path
 // segments: /a matches /a and /a/b, but not /ab. Routes of the given host come before
 // those for every host. Match returns false if no route matches.
 func (t *Table) Match(host, path string) (record.Route, bool) {
-	hosts := &t.content.Load().hosts
+	c := t.content.Load()
+	c.mu.RLock()
+	defer c.mu.RUnlock()
 	for _, candidate := range [2]string{host, ""} {
 		for prefix := path; prefix != ""; prefix = parentPath(prefix) {
-			if id, ok := hosts.get(candidate, prefix); ok {
-				return t.RouteByID(id)
+			if id, ok := c.hosts.get(candidate, prefix); ok {
+				return c.route(id)
 			}
 		}
 		if host == "" {
@@ -359,12 +384,11 @@
 func (t *Table) Counts() map[string]int {
 	out := map[string]int{}
 	c := t.content.Load()
+	c.mu.RLock()
+	defer c.mu.RUnlock()
 	for k := range c.shards {
 		for i := range c.shards[k] {
-			s := &c.shards[k][i]
-			s.mu.RLock()
-			out[record.Kind(k).String()] += s.items.liveItems
-			s.mu.RUnlock()
+			out[record.Kind(k).String()] += c.shards[k][i].items.liveItems
 		}
 	}
 	return out
@@ -373,13 +397,12 @@
 // Bytes returns the memory of the arenas and their indexes, in bytes.
 func (t *Table) Bytes() int {
 	c := t.content.Load()
+	c.mu.RLock()
+	defer c.mu.RUnlock()
 	total := c.hosts.bytes()
 	for k := range c.shards {
 		for i := range c.shards[k] {
-			s := &c.shards[k][i]
-			s.mu.RLock()
-			total += s.items.bytes()
-			s.mu.RUnlock()
+			total += c.shards[k][i].items.bytes()
 		}
 	}
 	return total
@@ -392,12 +415,10 @@
 // needs a key.
 func (t *Table) HasTeams() bool {
 	c := t.content.Load()
+	c.mu.RLock()
+	defer c.mu.RUnlock()
 	for i := range c.shards[record.KindTeam] {
-		s := &c.shards[record.KindTeam][i]
-		s.mu.RLock()
-		n := s.items.liveItems
-		s.mu.RUnlock()
-		if n > 0 {
+		if c.shards[record.KindTeam][i].items.liveItems > 0 {
 			return true
 		}
 	}
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -1,10 +1,14 @@
 package table
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"reflect"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -255,3 +259,69 @@
 		table.TeamByKey("k")
 	})
 }
+
+// TestReplacedRecordsStayVisible replaces a team, its key and its route while lookups
+// run. Each lookup must find the records, from before or after a change, and a route
+// with the prefix under which it was found.
+func TestReplacedRecordsStayVisible(t *testing.T) {
+	const changes = 3000
+	sum := sha256.Sum256([]byte("secret"))
+	table := New()
+	raw := map[string]json.RawMessage{}
+	apply := func(rev ident.Revision) {
+		var items []record.Item
+		for _, body := range []record.Body{
+			record.Team{ID: "team", Rate: 5, Burst: 2 + uint32(rev%50), Weight: 1},
+			record.Key{ID: ident.Key(hex.EncodeToString(sum[:8])), Team: "team", Hash: sum},
+			record.Route{ID: "route", Prefix: "/a", Service: ident.Service(fmt.Sprint("s", rev)), Timeout: 1000},
+		} {
+			after, err := record.Encode(body, record.SchemaCurrent, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			id := record.IDOf(body)
+			items = append(items, record.Item{Kind: record.KindOf(body), ID: id, Before: raw[id], After: after})
+			raw[id] = after
+		}
+		b, err := record.EncodeChange(record.Change{Revision: rev, ID: fmt.Sprint(rev), Items: items})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := table.Apply(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	apply(1)
+	if table.Skipped() > 0 {
+		t.Fatalf("%d records skipped", table.Skipped())
+	}
+	var missed, looked atomic.Int64
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for range 3 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				_, byKey := table.TeamByKey("secret")
+				r, matched := table.Match("", "/a/x")
+				if looked.Add(1); !byKey || !matched || r.Prefix != "/a" {
+					missed.Add(1)
+				}
+			}
+		}()
+	}
+	for rev := ident.Revision(2); rev < changes; rev++ {
+		apply(rev)
+	}
+	close(stop)
+	wg.Wait()
+	if missed.Load() > 0 {
+		t.Errorf("%d of %d lookups missed a record that was being replaced", missed.Load(), looked.Load())
+	}
+}
