entry, guard, once: the outcome after several sends is the weakest true one

Cause: (1) a target answered 5xx, the retry was refused by a draining target, and the caller got 503 not_run although a target had run the request. (2) The guard sent an idempotent request again after a reused connection gave no byte; when the second send was refused (connection refused, or the target said that it had not run it), the outcome was not_run, and the arrival was not counted. (3) AttemptTable: a second Finish replaced the recorded end, and Void marked attempts without a limit.

Change: the entry returns the target's answer if there is one; a refusal of a request that was sent again has outcome unknown; Finish ignores attempts that do not run; a full table answers Void with outcome unknown, since it cannot keep the mark.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -259,6 +259,31 @@
 	}
 }
 
+// TestRefusedRetryIsNotReportedAsNotRun covers a target that ran a request and failed
+// it, and another one that refuses the retry: the caller must not read that nothing ran.
+func TestRefusedRetryIsNotReportedAsNotRun(t *testing.T) {
+	ran := 0
+	for failing := range 2 {
+		answers := [2]string{okAnswer, okAnswer}
+		answers[failing] = errorAnswer
+		s := newTestEntry(t, answers)
+		s.Guard.DrainTarget([]ident.Target{"t1", "t0"}[failing])
+		for range 10 {
+			before := s.hits[failing].Load()
+			status, kind, outcome := s.request("GET", "/lookup", withKey(), "")
+			if s.hits[failing].Load() == before {
+				continue
+			}
+			if ran++; outcome == "not_run" {
+				t.Errorf("a request that ran got %d %s %s", status, kind, outcome)
+			}
+		}
+	}
+	if ran == 0 {
+		t.Error("no request reached the failing target")
+	}
+}
+
 // TestRequestMetrics covers the metrics that count requests by kind and result.
 func TestRequestMetrics(t *testing.T) {
 	s := newTestEntry(t, [2]string{okAnswer, okAnswer})
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -41,10 +41,14 @@
 		if refusal == nil && !isServerError(reply) {
 			return reply, nil
 		}
-		lastReply, last = reply, refusal
+		last = refusal
+		if refusal == nil {
+			lastReply = reply
+		}
 		pickReq.Skip = append(pickReq.Skip, c.Target)
 	}
-	if last == nil && lastReply != nil {
+	if lastReply != nil {
+		// A target ran the request, so no later refusal may say that it has not run.
 		return lastReply, nil
 	}
 	return nil, e.mergeOutcome(r, last)
@@ -118,7 +122,8 @@
 
 // mergeOutcome returns the last refusal, or NoCapacity if last is nil. It sets the
 // outcome to unknown if r.outcomeUnknown is true. An attempt that a target answered
-// with a server error does not set that field.
+// with a server error does not set that field: the caller gets that answer instead of
+// a refusal.
 func (e *Entry) mergeOutcome(r *request, last *fault.Refusal) *fault.Refusal {
 	if last == nil {
 		last = fault.NotRun(fault.NoCapacity, "service %s has no target that takes work: repeat after the given time", r.route.Service).
--- a/guard/answer_test.go
+++ b/guard/answer_test.go
@@ -10,6 +10,8 @@
 
 	"pgregory.net/rapid"
 
+	"chestnutlatch/clock"
+	"chestnutlatch/ident"
 	"chestnutlatch/wire"
 )
 
@@ -103,3 +105,33 @@
 	}
 	return true
 }
+
+// TestResentRequestIsNotReportedAsNotRun covers an idempotent request that was lost on
+// a reused connection, where it may have run, and whose second send is refused.
+func TestResentRequestIsNotReportedAsNotRun(t *testing.T) {
+	for _, refuseConnection := range []bool{true, false} {
+		var f *fakeTarget
+		f = startFakeTarget(t, func(n, conn int64, c net.Conn) bool {
+			switch {
+			case n == 1:
+				writeString(c, okResponseWithID("a1", "one"))
+				return true
+			case conn == 1:
+				if refuseConnection {
+					_ = f.Close()
+				}
+				return false
+			}
+			writeString(c, "HTTP/1.1 503 Busy\r\nX-Id: a2\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		})
+		g := newAttemptGuard(t, clock.NewSystem(), TargetSpec{ID: "t", Service: "svc", Address: f.Addr().String(), Slots: 1})
+		if r := g.Forward(context.Background(), attemptRequest("a1", false)); r.GetRefusal() != nil {
+			t.Fatal(r.GetRefusal())
+		}
+		reply := g.Forward(context.Background(), attemptRequest("a2", false))
+		if reply.GetRefusal() == nil || ident.Outcome(reply.GetRefusal().GetOutcome()) != ident.OutcomeUnknown || !reply.GetArrived() {
+			t.Errorf("connection refused %v: refusal %v, arrived %v, want outcome unknown and arrived", refuseConnection, reply.GetRefusal(), reply.GetArrived())
+		}
+	}
+}
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -108,17 +108,17 @@
 	defer fasthttp.ReleaseResponse(httpResp)
 	g.buildRequest(httpReq, req, t, remaining)
 	startedAt := time.Now()
-	err := g.send(ctx, t, httpReq, httpResp, !req.GetOneTime())
+	resent, err := g.send(ctx, t, httpReq, httpResp, !req.GetOneTime())
 	latency := ident.Micros(time.Since(startedAt).Microseconds())
 	g.meter.TargetTime.UpdateDuration(startedAt)
 	sample := g.healthSample(t, err, httpResp.StatusCode(), latency)
 	before, after := t.recordSample(sample, ident.Priority(req.GetPriority()))
 	g.logSample(t, req, sample, httpResp.StatusCode(), err, before, after)
 	if err != nil {
-		return nil, refusalForError(err, t.spec.ID), !errors.Is(err, errDial)
+		return nil, unknownIf(resent, refusalForError(err, t.spec.ID)), resent || !errors.Is(err, errDial)
 	}
 	if r := g.targetRefusal(t, httpResp); r != nil {
-		return nil, r, true
+		return nil, unknownIf(resent, r), true
 	}
 	if len(httpResp.Header.ContentEncoding()) > 0 && g.cfg.Dialect.AttemptID != "" {
 		return nil, refusalForError(errIncomplete, t.spec.ID), true
@@ -126,6 +126,15 @@
 	return toWireAnswer(httpResp), nil, true
 }
 
+// unknownIf sets the outcome of a refusal to unknown if the request was sent more than
+// once: the refusal is about the last send, and an earlier one may have run.
+func unknownIf(resent bool, r *fault.Refusal) *fault.Refusal {
+	if resent {
+		r.Outcome = ident.OutcomeUnknown
+	}
+	return r
+}
+
 // targetRefusal returns a refusal if the answer says that the target did not run
 // the request, and nil otherwise.
 func (g *Guard) targetRefusal(t *target, resp *fasthttp.Response) *fault.Refusal {
@@ -144,18 +153,19 @@
 // send sends the request and reads the answer. If a reused connection gives no
 // byte, it sends an idempotent request again on another connection. The first-byte
 // timeout leaves time for that. Such resends are limited for each target, so a
-// slow target does not get twice its load.
-func (g *Guard) send(ctx context.Context, t *target, req *fasthttp.Request, resp *fasthttp.Response, idempotent bool) error {
+// slow target does not get twice its load. It reports whether the request was sent
+// again.
+func (g *Guard) send(ctx context.Context, t *target, req *fasthttp.Request, resp *fasthttp.Response, idempotent bool) (resent bool, err error) {
 	var firstByte time.Duration
 	if idempotent && !g.cfg.KeepAlive {
 		firstByte = firstByteTimeout(ctx)
 	}
-	err := t.conns.exchange(ctx, req, resp, g.cfg.MaxAnswerBytes, firstByte)
+	err = t.conns.exchange(ctx, req, resp, g.cfg.MaxAnswerBytes, firstByte)
 	if !idempotent || !errors.Is(err, errNoFirstByte) || ctx.Err() != nil || !t.allowResend(g.clk.Now()) {
-		return err
+		return false, err
 	}
 	resp.Reset()
-	return t.conns.exchange(ctx, req, resp, g.cfg.MaxAnswerBytes, 0)
+	return true, t.conns.exchange(ctx, req, resp, g.cfg.MaxAnswerBytes, 0)
 }
 
 // firstByteTimeout returns how long a reused connection may take to give the first
--- a/once/attempt_table.go
+++ b/once/attempt_table.go
@@ -11,8 +11,8 @@
 	// milliseconds. Copies of a request that the network delays may arrive
 	// within this time.
 	Retention clock.Millis
-	// MaxAttempts is the number of kept attempts at which Begin refuses new ones.
-	// Attempts that Void marks before they arrive may exceed it.
+	// MaxAttempts is the number of kept attempts at which Begin refuses new ones and
+	// Void marks no more.
 	MaxAttempts int
 	// MaxCachedBytes limits the total size of the answers that are cached for
 	// repeats, in bytes.
@@ -57,12 +57,16 @@
 
 // Void returns the state of an attempt to a sender that did not get its answer.
 // If the attempt has not arrived here, it is marked as void, and a copy that
-// arrives later does not run.
+// arrives later does not run. A full table cannot keep the mark, so the outcome is
+// then unknown.
 func (a *AttemptTable) Void(now clock.Millis, id string, deadline clock.Millis) Decision {
 	if rec := a.records[id]; rec != nil {
 		return rec.decision()
 	}
 	a.removeExpired(now)
+	if len(a.records) >= a.cfg.MaxAttempts {
+		return Deny{fault.Unknown(fault.TicketTableFull, "too many one-time actions are remembered here: look the action up")}
+	}
 	refusal := fault.NotRun(fault.PathFailed, "request did not arrive: repeat the request")
 	a.addRecord(id, &actionRecord{state: stateVoid, expires: deadline + a.cfg.Retention, refusal: refusal})
 	return Deny{refusal}
@@ -85,10 +89,10 @@
 
 // Finish records the end of a running attempt: its refusal or, if refusal is
 // nil, its answer. The answer is cached for repeats if the size limit leaves room
-// for it. An unknown ID is ignored.
+// for it. An unknown ID and an attempt that does not run are ignored.
 func (a *AttemptTable) Finish(id string, answer *Answer, refusal *fault.Refusal) {
 	rec := a.records[id]
-	if rec == nil {
+	if rec == nil || rec.state != stateRunning {
 		return
 	}
 	if refusal != nil {
