guard: bound what a target in trouble may send, and refuse late copies of answers

Cause: interim answers (100) and chunk extensions were read without a limit until the request's deadline: 490 to 900 MB in four seconds from one target. An error answer without an attempt ID was accepted on a connection in use again: a late copy of a 500, of a 421 or of 'not run' counted as the answer to the next request, which had run. In the default dialect nothing told a late copy from an answer. A first-byte timer that fired beside the answer could set the deadline of an idle connection. A connection with unread bytes went back to the pool.

Change: an exchange reads at most 8 x max_answer_bytes + 64 KiB and 8 interim answers; answers without an ID are accepted only as the first on a connection; the default dialect sends X-Exchange-Id, which targets may repeat; a connection with unread bytes or a fired timer is closed.

--- a/entry/http.go
+++ b/entry/http.go
@@ -14,6 +14,7 @@
 
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
+	"chestnutlatch/guard"
 	"chestnutlatch/ident"
 	"chestnutlatch/wire"
 )
@@ -38,11 +39,11 @@
 	"transfer-encoding": true, "upgrade": true, "content-length": true, "expect": true,
 }
 
-// strippedAnswerHeaders are the hop-by-hop and length headers of a target's answer,
+// strippedAnswerHeaders are the hop-by-hop, length and exchange headers of a target's answer,
 // which are not passed to callers.
 var strippedAnswerHeaders = map[string]bool{
 	"connection": true, "keep-alive": true, "transfer-encoding": true, "content-length": true,
-	"trailer": true, "upgrade": true,
+	"trailer": true, "upgrade": true, strings.ToLower(guard.ExchangeHeader): true,
 }
 
 // hostOf returns the request's host in lower case without its port.
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -35,6 +35,14 @@
 	// idleTimeoutPercent is the percentage of a target's Keep-Alive timeout after
 	// which an idle connection is not reused.
 	idleTimeoutPercent = 80
+	// maxInterimAnswers bounds the interim answers (status 1xx) before an answer.
+	maxInterimAnswers = 8
+	// maxFramingFactor and framingBytes bound the bytes that are read for one
+	// exchange: maxFramingFactor times Config.MaxAnswerBytes, which admits a body in
+	// chunks of one byte, and framingBytes for heads and trailers. A target in
+	// trouble may send bytes without end.
+	maxFramingFactor = 8
+	framingBytes     = 64 << 10
 	// longBodyBytes is the size, in bytes, above which a request's body is written
 	// while the answer is read. Shorter bodies fit into the socket's buffer.
 	longBodyBytes = 4 << 10
@@ -68,18 +76,25 @@
 	idleSince clock.Millis
 	// reused is true after the first successful exchange on the connection.
 	reused bool
+	// echoesExchange is true after an answer that repeated Dialect.Exchange.
+	echoesExchange bool
 	// receivedByte is true if the current exchange has read a byte.
 	receivedByte atomic.Bool
-	// firstByteTimedOut is true if no byte arrived within the first-byte timeout.
-	firstByteTimedOut atomic.Bool
+	// readLimit is the number of bytes that the current exchange may still read.
+	readLimit int
 	// idleLimit is how long the connection may be idle and still be reused, in
 	// milliseconds.
 	idleLimit clock.Millis
 }
 
-// Read records that the current exchange has received data.
+// Read records that the current exchange has received data. It returns an error once
+// the exchange has read more than it may.
 func (c *targetConn) Read(b []byte) (int, error) {
+	if c.readLimit <= 0 {
+		return 0, errors.Wrap(errIncomplete, "target sends bytes without end")
+	}
 	n, err := c.Conn.Read(b)
+	c.readLimit -= n
 	if n > 0 {
 		c.receivedByte.Store(true)
 	}
@@ -163,10 +178,14 @@
 	if err != nil {
 		return nil, errors.Wrap(errDial, err.Error())
 	}
+	return newTargetConn(raw), nil
+}
+
+func newTargetConn(raw net.Conn) *targetConn {
 	c := &targetConn{Conn: raw, idleLimit: defaultIdleLimit}
 	c.r = bufio.NewReader(c)
 	c.w = bufio.NewWriter(raw)
-	return c, nil
+	return c
 }
 
 func (p *connPool) put(c *targetConn) {
@@ -218,6 +237,7 @@
 		return err
 	}
 	c.receivedByte.Store(false)
+	c.readLimit = maxFramingFactor*maxBody + framingBytes
 	sentAt := p.clk.Now()
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
 	reusable, err := c.roundTrip(p.dialect, req, resp, maxBody, firstByte)
@@ -229,7 +249,7 @@
 		}
 		return p.classifyError(ctx, c, err)
 	}
-	if resp.ConnectionClose() || !notCanceled || !reusable || c.firstByteTimedOut.Load() {
+	if resp.ConnectionClose() || !notCanceled || !reusable || c.r.Buffered() > 0 {
 		_ = c.Close()
 		return nil
 	}
@@ -280,15 +300,15 @@
 
 // roundTrip writes the request and reads its answer. It reports whether the
 // connection can be used again.
-func (c *targetConn) roundTrip(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int, firstByte time.Duration) (bool, error) {
+func (c *targetConn) roundTrip(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int, firstByte time.Duration) (reusable bool, err error) {
 	if c.reused && firstByte > 0 {
 		timer := time.AfterFunc(firstByte, func() {
 			if !c.receivedByte.Load() {
-				c.firstByteTimedOut.Store(true)
 				_ = c.SetDeadline(pastDeadline)
 			}
 		})
-		defer timer.Stop()
+		// A timer that has fired may still set the deadline of the connection.
+		defer func() { reusable = timer.Stop() && reusable }()
 	}
 	if len(req.Body()) > longBodyBytes {
 		return c.roundTripLong(d, req, resp, maxBody)
@@ -341,7 +361,7 @@
 func (c *targetConn) readAnswer(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (framed bool, err error) {
 	for range maxAnswersRead {
 		framed, err = c.readResponse(d, req, resp, maxBody)
-		if err != nil || d.AttemptID == "" || isAnswerTo(d, req, resp) {
+		if err != nil || c.isAnswerTo(d, req, resp) {
 			return framed, err
 		}
 		if !framed {
@@ -353,25 +373,45 @@
 }
 
 // isAnswerTo reports whether an answer belongs to the request. An error answer
-// without an attempt ID is accepted, because a target may leave out the ID if it did
-// not run the request.
-func isAnswerTo(d Dialect, req *fasthttp.Request, resp *fasthttp.Response) bool {
+// without an attempt ID is accepted on a new connection only, because a target may
+// leave out the ID if it did not run the request. On a reused connection, it may be a
+// late copy of the answer to an earlier request.
+func (c *targetConn) isAnswerTo(d Dialect, req *fasthttp.Request, resp *fasthttp.Response) bool {
+	if d.AttemptID == "" {
+		return c.isAnswerToExchange(d, req, resp)
+	}
 	id := resp.Header.Peek(d.AttemptID)
 	if len(id) == 0 {
-		return resp.StatusCode() >= fasthttp.StatusBadRequest
+		return !c.reused && resp.StatusCode() >= fasthttp.StatusBadRequest
 	}
 	return bytes.Equal(id, req.Header.Peek(d.AttemptID))
 }
 
-// readResponse reads one answer and skips 100 Continue responses. framed is as in
+// isAnswerToExchange is isAnswerTo for targets that may, but need not, repeat the ID
+// of the exchange.
+func (c *targetConn) isAnswerToExchange(d Dialect, req *fasthttp.Request, resp *fasthttp.Response) bool {
+	if d.Exchange == "" {
+		return true
+	}
+	id := resp.Header.Peek(d.Exchange)
+	if len(id) == 0 {
+		return !c.echoesExchange
+	}
+	c.echoesExchange = true
+	return bytes.Equal(id, req.Header.Peek(d.Exchange))
+}
+
+// readResponse reads one answer and skips interim answers. framed is as in
 // readAnswer.
 func (c *targetConn) readResponse(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (framed bool, err error) {
-	for {
+	for interim := 0; ; interim++ {
 		if err := resp.Header.Read(c.r); err != nil {
 			return false, err
 		}
-		if resp.StatusCode() != fasthttp.StatusContinue {
+		if status := resp.StatusCode(); status >= fasthttp.StatusOK {
 			break
+		} else if status < fasthttp.StatusContinue || status == fasthttp.StatusSwitchingProtocols || interim == maxInterimAnswers {
+			return false, errIncomplete
 		}
 	}
 	if req.Header.IsHead() || resp.StatusCode() == fasthttp.StatusNoContent || resp.StatusCode() == fasthttp.StatusNotModified {
--- a/guard/dialect.go
+++ b/guard/dialect.go
@@ -9,6 +9,10 @@
 	// requests are identified by that ID and need no ticket, and targets repeat
 	// the ID in their answers.
 	AttemptID string
+	// Exchange carries an ID of each request that is sent to a target, if AttemptID is
+	// empty. A target may repeat it in its answer; once it has done so on a connection,
+	// answers without it are not accepted there.
+	Exchange string
 	// Timeout carries the remaining time of the request, in milliseconds.
 	Timeout string
 	// Team carries the team's ID to the target.
@@ -27,13 +31,13 @@
 
 // DefaultDialect returns the default headers of chestnutlatch.
 func DefaultDialect() Dialect {
-	return Dialect{Timeout: TimeoutHeader, Team: TeamHeader}
+	return Dialect{Exchange: ExchangeHeader, Timeout: TimeoutHeader, Team: TeamHeader}
 }
 
 // reservedHeaders returns the names of the headers that only the daemon may set.
 // Unused ones are empty.
-func (d Dialect) reservedHeaders() [4]string {
-	return [4]string{d.Timeout, d.Team, d.OriginService, d.ExpectedTarget}
+func (d Dialect) reservedHeaders() [5]string {
+	return [5]string{d.Exchange, d.Timeout, d.Team, d.OriginService, d.ExpectedTarget}
 }
 
 // IsReserved reports whether only the daemon may set a header. Case is ignored.
--- /dev/null
+++ b/guard/endless_test.go
@@ -0,0 +1,249 @@
+package guard
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"chestnutlatch/clock"
+	"chestnutlatch/fault"
+	"chestnutlatch/ident"
+)
+
+// TestBytesWithoutEnd covers targets in trouble that send bytes which are no answer
+// until the connection is closed. The guard must end the exchange after a bounded
+// number of bytes, close the connection, claim no more than it knows and count the
+// failure against the target.
+func TestBytesWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: a1\r\n"
+	tests := []struct {
+		name, first, endless string
+		// served is true if a complete answer comes first.
+		served bool
+	}{
+		{"garbage instead of a head", "", "no answer ", false},
+		{"head without end", head, "X-More: 1\r\n", false},
+		{"header value without end", head + "X-More: ", "x", false},
+		{"interim answers without end", "", "HTTP/1.1 102 Processing\r\n\r\n", false},
+		{"continue without end", "", "HTTP/1.1 100 Continue\r\n\r\n", false},
+		{"answers to other requests without end", "", "HTTP/1.1 200 OK\r\nX-Id: a0\r\nContent-Length: 0\r\n\r\n", false},
+		{"body over its limit", head + "Content-Length: 1000000000\r\n\r\n", "x", false},
+		{"body without length", head + "\r\n", "x", false},
+		{"chunks without end", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", false},
+		{"chunk size without end", head + "Transfer-Encoding: chunked\r\n\r\n", "0", false},
+		{"chunk extension without end", head + "Transfer-Encoding: chunked\r\n\r\n1;", "x", false},
+		{"trailer without end", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: 1\r\n", false},
+		{"bytes after a complete answer", okResponseWithID("a1", "x"), "x", true},
+	}
+	for _, oneTime := range []bool{false, true} {
+		for _, tt := range tests {
+			t.Run(tt.name, func(t *testing.T) {
+				var sent atomic.Int64
+				ended := make(chan struct{})
+				f := startFakeTarget(t, func(_, _ int64, c net.Conn) bool {
+					defer close(ended)
+					writeString(c, tt.first)
+					block := []byte(strings.Repeat(tt.endless, 4096/len(tt.endless)))
+					for {
+						n, err := c.Write(block)
+						sent.Add(int64(n))
+						if err != nil {
+							return false
+						}
+					}
+				})
+				g := newAttemptGuard(t, clock.NewSystem(), TargetSpec{ID: "t", Service: "svc", Address: f.Addr().String(), Slots: 1})
+				req := attemptRequest("a1", oneTime)
+				req.TimeoutMs = 60_000
+				reply := g.Forward(context.Background(), req)
+				if tt.served {
+					if string(reply.GetAnswer().GetBody()) != "x" {
+						t.Fatalf("refused with %v, want the answer", reply.GetRefusal())
+					}
+					// The connection may be closed only when it is used again.
+					g.findTarget("t").conns.closeAll()
+				} else {
+					r := RefusalFromWire(reply.GetRefusal())
+					if reply.GetAnswer() != nil || r.Outcome != ident.OutcomeUnknown || r.Kind == fault.DeadlineExceeded {
+						t.Errorf("got answer %v, refusal %v, want a refusal with outcome unknown before the deadline", reply.GetAnswer(), r)
+					}
+					if g.findTarget("t").suspicion(g.clk.Now()) <= newTarget(TargetSpec{}, g.cfg, g.clk).suspicion(g.clk.Now()) {
+						t.Error("the failure does not count against the target")
+					}
+				}
+				<-ended
+				const socketBuffers = 16 << 20
+				if limit := int64(maxFramingFactor*g.cfg.MaxAnswerBytes + framingBytes + socketBuffers); sent.Load() > limit {
+					t.Errorf("target sent %d bytes, want at most %d", sent.Load(), limit)
+				}
+			})
+		}
+	}
+}
+
+// TestSlowBytesWithoutEnd covers a target that sends a head byte by byte without end:
+// the request ends at its deadline, and the connection is closed.
+func TestSlowBytesWithoutEnd(t *testing.T) {
+	ended := make(chan struct{})
+	f := startFakeTarget(t, func(_, _ int64, c net.Conn) bool {
+		defer close(ended)
+		writeString(c, "HTTP/1.1 200 OK\r\nX-Id: ")
+		for {
+			if _, err := c.Write([]byte("a")); err != nil {
+				return false
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	g := newAttemptGuard(t, clock.NewSystem(), TargetSpec{ID: "t", Service: "svc", Address: f.Addr().String(), Slots: 1})
+	req := attemptRequest("a1", true)
+	req.TimeoutMs = 200
+	r := RefusalFromWire(g.Forward(context.Background(), req).GetRefusal())
+	if r.Kind != fault.DeadlineExceeded || r.Outcome != ident.OutcomeUnknown {
+		t.Errorf("refusal is %v, want deadline_exceeded with outcome unknown", r)
+	}
+	<-ended
+}
+
+// TestLateCopyOfAnAnswer covers a second copy of an answer that arrives when the
+// connection is in use again, after the guard has checked it for unread bytes. Also an
+// error answer without an attempt ID must not be taken for the answer to the next
+// request, least of all one that says that the target has not run it.
+func TestLateCopyOfAnAnswer(t *testing.T) {
+	copies := map[string]string{
+		"success":                    okResponseWithID("a1", "one"),
+		"success without ID":         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none",
+		"error without ID":           "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n",
+		"refused as not run, no ID":  "HTTP/1.1 503 S\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"another target there, mute": "HTTP/1.1 421 M\r\nContent-Length: 0\r\n\r\n",
+	}
+	for name, late := range copies {
+		t.Run(name, func(t *testing.T) {
+			f := startFakeTarget(t, func(n, _ int64, c net.Conn) bool {
+				if n == 1 {
+					writeString(c, okResponseWithID("a1", "one"))
+					return true
+				}
+				// The copy comes first, and only after the next request has been sent.
+				writeString(c, late+okResponseWithID("a2", "two"))
+				return true
+			})
+			g := newAttemptGuard(t, clock.NewSystem(), TargetSpec{ID: "t", Service: "svc", Address: f.Addr().String(), Slots: 1})
+			if r := g.Forward(context.Background(), attemptRequest("a1", true)); r.GetRefusal() != nil {
+				t.Fatal(r.GetRefusal())
+			}
+			reply := g.Forward(context.Background(), attemptRequest("a2", true))
+			if reply.GetAnswer() != nil && string(reply.GetAnswer().GetBody()) != "two" {
+				t.Errorf("the second request got %d %q", reply.GetAnswer().GetStatus(), reply.GetAnswer().GetBody())
+			}
+			if r := RefusalFromWire(reply.GetRefusal()); reply.GetAnswer() == nil && r.Outcome != ident.OutcomeUnknown {
+				t.Errorf("the second request ran and was refused with %v", r)
+			}
+		})
+	}
+}
+
+// TestLateCopyWithExchangeIDs covers the same in the default dialect, where a target
+// repeats the ID of the exchange in its answers.
+func TestLateCopyWithExchangeIDs(t *testing.T) {
+	for _, copyHasID := range []bool{true, false} {
+		var ids []string
+		f := startFakeTarget(t, func(n, _ int64, c net.Conn) bool {
+			id := ids[n-1]
+			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Exchange-Id: %s\r\nContent-Length: 1\r\n\r\n%d", id, n)
+			switch {
+			case n == 1:
+			case copyHasID:
+				answer = strings.Replace(answer, id, ids[0], 1) + answer
+			default:
+				answer = okResponse("1") + answer
+			}
+			writeString(c, answer)
+			return true
+		})
+		g := newTestGuard(t, f, 1)
+		// The guard counts exchanges from 1 and writes their numbers in base 36.
+		ids = []string{"1", "2"}
+		if r := g.Forward(context.Background(), idempotentRequest(2000)); string(r.GetAnswer().GetBody()) != "1" {
+			t.Fatalf("first answer is %v, refusal %v", r.GetAnswer(), r.GetRefusal())
+		}
+		reply := g.Forward(context.Background(), idempotentRequest(2000))
+		if reply.GetAnswer() != nil && string(reply.GetAnswer().GetBody()) != "2" {
+			t.Errorf("copy with its ID %v: the second request got %q", copyHasID, reply.GetAnswer().GetBody())
+		}
+	}
+}
+
+// scriptedConn is a connection on which a peer sends a script and then repeats the end
+// of it without end, or closes.
+type scriptedConn struct {
+	net.Conn
+	script, repeated []byte
+	read             int
+}
+
+func (c *scriptedConn) Read(b []byte) (int, error) {
+	if len(c.script) == 0 {
+		if len(c.repeated) == 0 {
+			return 0, io.EOF
+		}
+		c.script = bytes.Repeat(c.repeated, 1+len(b)/len(c.repeated))
+	}
+	n := copy(b, c.script)
+	c.script = c.script[n:]
+	c.read += n
+	return n, nil
+}
+
+// FuzzReadAnswer reads an answer from a peer that sends arbitrary bytes, possibly
+// without end. The reader must stop after a bounded number of bytes, and an answer that
+// it accepts must belong to the request and keep the size limit.
+func FuzzReadAnswer(f *testing.F) {
+	for _, script := range []string{
+		okResponseWithID("a1", "x"), okResponseWithID("a0", "s") + okResponseWithID("a1", "x"), "HTTP/1.1 100 Continue\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: a1\r\n\r\nuntil the end", "HTTP/1.1 503 S\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204 N\r\nX-Id: a1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n1;a=b\r\nx\r\n0\r\nT: 1\r\n\r\n", "hello\r\n\r\n",
+	} {
+		for _, repeated := range []int{0, 1, 7, 1000} {
+			f.Add([]byte(script), repeated, true)
+			f.Add([]byte(script), repeated, false)
+		}
+	}
+	const maxBody = 1000
+	f.Fuzz(func(t *testing.T, script []byte, repeated int, reused bool) {
+		if len(script) > 1<<16 {
+			t.Skip("longer than a peer's first bytes need to be")
+		}
+		repeated = min(max(repeated, 0), len(script))
+		raw := &scriptedConn{script: script, repeated: script[len(script)-repeated:]}
+		c := newTargetConn(raw)
+		c.reused, c.readLimit = reused, maxFramingFactor*maxBody+framingBytes
+		limit := c.readLimit
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseRequest(req)
+		defer fasthttp.ReleaseResponse(resp)
+		req.Header.Set("X-Id", "a1")
+		_, err := c.readAnswer(testDialect(), req, resp, maxBody)
+		if raw.read > limit+4096 {
+			t.Fatalf("read %d bytes, the limit is %d", raw.read, limit)
+		}
+		if err != nil {
+			return
+		}
+		id := string(resp.Header.Peek("X-Id"))
+		if id != "a1" && (id != "" || reused || resp.StatusCode() < 400) {
+			t.Errorf("accepted status %d with ID %q on a connection in use again: %v", resp.StatusCode(), id, reused)
+		}
+		if len(resp.Body()) > maxBody || resp.StatusCode() < 200 {
+			t.Errorf("accepted status %d with a body of %d bytes", resp.StatusCode(), len(resp.Body()))
+		}
+	})
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -76,6 +76,9 @@
 	// isDrained reports whether operators have drained a target.
 	isDrained func(ident.Target) bool
 
+	// lastExchange is the ID of the last request sent to a target; see
+	// Dialect.Exchange.
+	lastExchange atomic.Uint64
 	// runningRetries counts the running requests that were sent to another
 	// target before.
 	runningRetries atomic.Int64
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -17,6 +17,9 @@
 )
 
 const (
+	// ExchangeHeader carries an ID of the request that a target may repeat in its
+	// answer.
+	ExchangeHeader = "X-Exchange-Id"
 	// TeamHeader carries the team's ID to the target.
 	TeamHeader = "X-Team"
 	// TimeoutHeader carries the remaining time of the request, in milliseconds.
@@ -196,6 +199,9 @@
 			out.Header.Del(name)
 		}
 	}
+	if d.AttemptID == "" {
+		setHeader(out, d.Exchange, strconv.FormatUint(g.lastExchange.Add(1), 36))
+	}
 	setHeader(out, d.Team, req.GetTeam())
 	setHeader(out, d.Timeout, strconv.FormatInt(int64(remaining), 10))
 	setHeader(out, d.OriginService, req.GetOriginService())
--- a/stand/target.go
+++ b/stand/target.go
@@ -213,6 +213,9 @@
 		c.Error("another target is meant", fasthttp.StatusMisdirectedRequest)
 		return
 	}
+	if id := c.Request.Header.Peek(dialect.Exchange); len(id) > 0 {
+		c.Response.Header.SetBytesV(dialect.Exchange, id)
+	}
 	if dialect.AttemptID != "" {
 		c.Response.Header.SetBytesV(dialect.AttemptID, c.Request.Header.Peek(dialect.AttemptID))
 	}
