daemon: a planned stop answers the requests that have arrived

Cause: the stop closed the callers' port at once and every idle connection with it. A connection that waited in the listen queue, and a request that lay unread in the buffer of an idle connection, were cut off without an answer.

Change: a stopping daemon accepts for another 50 ms, then closes only the reading side of connections without a request in progress: what has arrived is read and served, and the server closes the connection at the end of its input. The check for callers that have left ignores an end that this daemon made itself.

--- a/daemon/caller_conn.go
+++ b/daemon/caller_conn.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -61,13 +64,20 @@
 	}
 }
 
-// callerConn applies the current caller limits to a connection. Except for Close
-// and NetConn, it is not safe for concurrent use.
+// callerConn applies the current caller limits to a connection. Except for Close,
+// NetConn, ReadClosed and endIdle, it is not safe for concurrent use.
 type callerConn struct {
 	net.Conn
 	clk      clock.Clock
 	limits   func() record.CallerLimits
 	timeouts readTimeouts
+	// onClose is called when the connection is closed; nil if nothing is to be done.
+	onClose func()
+	// inRequest is true from the first bytes of a request to the first ones of its
+	// response.
+	inRequest atomic.Bool
+	// readClosed is true after endIdle has closed the reading side.
+	readClosed atomic.Bool
 }
 
 // NetConn returns the wrapped connection.
@@ -83,6 +93,7 @@
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
+		c.inRequest.Store(true)
 		c.timeouts.bytesReceived(c.clk.Now(), l)
 	}
 	if c.timeouts.phase == phaseIdle && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -108,25 +119,104 @@
 func (c *callerConn) Write(b []byte) (int, error) {
 	if !bytes.HasPrefix(b, interimPrefix) {
 		c.timeouts.phase = phaseIdle
+		c.inRequest.Store(false)
 	}
 	return c.Conn.Write(b)
 }
 
-// callerListener wraps accepted connections in callerConn.
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	if c.onClose != nil {
+		c.onClose()
+	}
+	return c.Conn.Close()
+}
+
+// ReadClosed reports whether this daemon, not the caller, closed the reading side.
+func (c *callerConn) ReadClosed() bool { return c.readClosed.Load() }
+
+// endIdle closes the reading side unless a request is being read or served. Bytes that
+// have arrived are still read, so a request among them is served; then the server
+// reads the end and closes the connection.
+func (c *callerConn) endIdle() {
+	if c.inRequest.Load() || c.readClosed.Swap(true) {
+		return
+	}
+	if half, ok := c.Conn.(interface{ CloseRead() error }); ok {
+		_ = half.CloseRead()
+		return
+	}
+	_ = c.Conn.Close()
+}
+
+// callerListener wraps accepted connections in callerConn and can end them without
+// losing requests. It is safe for concurrent use.
 type callerListener struct {
 	net.Listener
-	d *Daemon
+	clk    clock.Clock
+	limits func() record.CallerLimits
+	// stopping is set when no more connections are expected.
+	stopping atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*callerConn]struct{}
+}
+
+func newCallerListener(l net.Listener, clk clock.Clock, limits func() record.CallerLimits) *callerListener {
+	return &callerListener{Listener: l, clk: clk, limits: limits, conns: map[*callerConn]struct{}{}}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. After stop, it returns io.EOF once no connection
+// waits any more.
 func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	raw, err := l.Listener.Accept()
 	if err != nil {
+		if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, io.EOF
+		}
 		return nil, err
 	}
-	return &callerConn{Conn: c, clk: l.d.clk, limits: l.d.callerLimits}, nil
+	c := &callerConn{Conn: raw, clk: l.clk, limits: l.limits}
+	c.onClose = func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.conns, c)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return c, nil
+}
+
+// stop accepts the connections that wait in the listen queue or arrive within
+// lastAcceptTime, and ends those on which no request is in progress. It returns when
+// every connection is closed or ctx ends.
+func (l *callerListener) stop(ctx context.Context) {
+	l.stopping.Store(true)
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = d.SetDeadline(time.Now().Add(lastAcceptTime))
+	}
+	sleep(ctx, lastAcceptTime)
+	for l.endIdleConns() > 0 && ctx.Err() == nil {
+		sleep(ctx, idlePollInterval)
+	}
 }
 
+// endIdleConns ends the connections without a request in progress and returns the
+// number of connections that were open.
+func (l *callerListener) endIdleConns() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.endIdle()
+	}
+	return len(l.conns)
+}
+
+// lastAcceptTime is how long a stopping daemon still accepts connections of callers
+// that have not yet noticed.
+const lastAcceptTime = 50 * time.Millisecond
+
 // callerLimits returns the limits on request bodies, header times and idle
 // times: those of the configuration, or the daemon's defaults where it sets
 // none. The body limit never exceeds readBodyFactor times max_request_bytes,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -100,11 +100,13 @@
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
 
-	inner    *grpc.Server
-	callers  *fasthttp.Server
-	operator *fasthttp.Server
-	ready    *fasthttp.Server
-	announce *fasthttp.Server
+	inner   *grpc.Server
+	callers *fasthttp.Server
+	// callerConns holds the connections of callers; it is set by start.
+	callerConns *callerListener
+	operator    *fasthttp.Server
+	ready       *fasthttp.Server
+	announce    *fasthttp.Server
 	// superseded is closed when a newer incarnation runs on this instance.
 	superseded    chan struct{}
 	supersedeOnce sync.Once
@@ -332,7 +334,8 @@
 	}
 	go run("inner server", func() error { return d.inner.Serve(l.inner) })
 	go run("operator server", func() error { return d.operator.Serve(l.operator) })
-	callers := &callerListener{Listener: l.callers, d: d}
+	callers := newCallerListener(l.callers, d.clk, d.callerLimits)
+	d.callerConns = callers
 	go run("caller server", func() error {
 		if d.cfg.CallerCert != "" {
 			return d.callers.ServeTLS(callers, d.cfg.CallerCert, d.cfg.CallerKey)
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -31,6 +31,7 @@
 	d.fleet.announceShutdown()
 	cancelTimer := time.AfterFunc(time.Until(startedAt.Add((d.cfg.StopTimeout - callerCutMargin).Duration())), d.entry.CancelRequests)
 	defer cancelTimer.Stop()
+	d.callerConns.stop(ctx)
 	if err := d.callers.ShutdownWithContext(ctx); err != nil {
 		d.log.Warn("stop timed out: the remaining connections of callers are cut off", "error", err)
 	}
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -29,9 +29,15 @@
 // StateOf returns the state of a connection without consuming bytes and without
 // blocking. It unwraps connections that have a NetConn method, such as TLS
 // connections. It returns Quiet for a connection that is not TCP, and Closed if
-// the state cannot be read.
+// the state cannot be read. A wrapper whose ReadClosed method returns true has closed
+// its reading side itself; the end of its input then does not mean that the other end
+// has closed.
 func StateOf(c net.Conn) State {
+	readClosed := false
 	for {
+		if w, ok := c.(interface{ ReadClosed() bool }); ok {
+			readClosed = readClosed || w.ReadClosed()
+		}
 		wrapper, ok := c.(interface{ NetConn() net.Conn })
 		if !ok {
 			break
@@ -53,6 +59,7 @@
 		switch {
 		case n > 0:
 			state = Readable
+		case err == nil && readClosed:
 		case err == nil:
 			state = Closed
 		case !errors.Is(err, syscall.EAGAIN):
