limit: different slots for each team, all regions, no negative wait

Cause: in a fleet of two slots a team could get one slot twice; Place used the first three regions only; a draw of no tokens from a full bucket returned a negative wait, which is four billion milliseconds on the wire.

Result: TestSlotsOfOneTeamDiffer, TestPlaceUsesEveryRegion (20, 20, 20, 0, 0, 0 of 60 slots before) and TestGrantOfNothing (-549 ms) failed before and pass.

--- a/limit/allowance.go
+++ b/limit/allowance.go
@@ -87,20 +87,19 @@
 	return burst - (reserve+second-1)/second
 }
 
-// SlotsOf returns the slots of a team in a fleet with count slots, at most
-// count of them. With maxSlotsPerTeam or more slots in the fleet they differ
-// modulo maxSlotsPerTeam, so that Place can put them into different regions. In a
-// fleet with two slots, both can be the same slot.
+// SlotsOf returns the slots of a team in a fleet with count slots, at most count of
+// them, all different. They differ modulo maxSlotsPerTeam where the fleet has that many
+// slots, so that Place can put them into different regions.
 func SlotsOf(team ident.Team, a Allowance, count int) []Slot {
 	n := min(a.SlotCount(), count)
 	h := xxhash.Sum64String(string(team))
+	groupSize := min(count, maxSlotsPerTeam)
 	groups := max(count/maxSlotsPerTeam, 1)
 	first := int(h % maxSlotsPerTeam)
+	group := int((h >> 8) % uint64(groups))
 	out := make([]Slot, 0, n)
 	for i := range n {
-		residue := (first + i) % maxSlotsPerTeam
-		group := int((h >> 8) % uint64(groups))
-		out = append(out, Slot((group*maxSlotsPerTeam+residue)%count))
+		out = append(out, Slot(group*maxSlotsPerTeam+(first+i)%groupSize))
 	}
 	return out
 }
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -31,7 +31,8 @@
 	// draws.
 	TTL clock.Millis
 	// RetryAfter is the time until the next token is due, in milliseconds; 1 s if
-	// the slot is not one of the team's, and 0 if tokens were granted.
+	// the slot is not one of the team's, and 0 if tokens were granted or the bucket
+	// holds one.
 	RetryAfter clock.Millis
 	// HalfFull reports whether the bucket is at least half full after the grant;
 	// false if no token was granted. Tokens that then expire unused cost the team
@@ -124,8 +125,12 @@
 	b.level = min(b.level+MilliTokens(gained/int64(clock.Second)), a.slotCapacity())
 }
 
-// timeToNextToken returns the milliseconds until the bucket has a whole token.
+// timeToNextToken returns the milliseconds until the bucket has a whole token; 0 if it
+// has one.
 func (b *bucket) timeToNextToken(a Allowance) clock.Millis {
+	if b.level >= Token {
+		return 0
+	}
 	return clock.Millis(int64(Token-b.level)*int64(clock.Second)/max(int64(a.slotRate()), 1)) + 1
 }
 
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -211,9 +211,9 @@
 }
 
 // Place returns the instance that should hold a slot, or "" if there is none.
-// regions maps each region to its live instances. Slots that differ modulo
-// maxSlotsPerTeam go to different regions where possible; within a region the
-// instance with the highest hash of instance and slot wins.
+// regions maps each region to its live instances. Successive slots, and so those of one
+// team, go to successive regions; within a region the instance with the highest hash of
+// instance and slot wins.
 func Place(slot Slot, regions map[ident.Region][]ident.Instance) ident.Instance {
 	names := make([]ident.Region, 0, len(regions))
 	for r := range regions {
@@ -223,7 +223,7 @@
 		return ""
 	}
 	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	region := names[int(slot)%maxSlotsPerTeam%len(names)]
+	region := names[int(slot)%len(names)]
 	var best ident.Instance
 	var highest uint64
 	for _, inst := range regions[region] {
--- a/limit/slot_test.go
+++ b/limit/slot_test.go
@@ -1,11 +1,13 @@
 package limit
 
 import (
+	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"chestnutlatch/clock"
+	"chestnutlatch/ident"
 )
 
 // newHolderOfAllSlots returns a holder with leases of all slots from time 0, and
@@ -163,3 +165,68 @@
 		}
 	})
 }
+
+// TestSlotsOfOneTeamDiffer checks that a team's slots are all different for every
+// number of slots: a slot that counts twice would get a part of the rate twice.
+func TestSlotsOfOneTeamDiffer(t *testing.T) {
+	for count := 1; count <= 9; count++ {
+		for i := range 200 {
+			slots := SlotsOf(ident.Team(fmt.Sprint("team-", i)), Allowance{Rate: 100, Burst: 100}, count)
+			seen := map[Slot]bool{}
+			for _, s := range slots {
+				if seen[s] || int(s) >= count {
+					t.Fatalf("of %d slots, a team has %v", count, slots)
+				}
+				seen[s] = true
+			}
+			if len(slots) != min(count, maxSlotsPerTeam) {
+				t.Fatalf("of %d slots, a team has %v", count, slots)
+			}
+		}
+	}
+}
+
+// TestPlaceUsesEveryRegion checks that each region holds slots, and that a team's slots
+// are held in different regions.
+func TestPlaceUsesEveryRegion(t *testing.T) {
+	const regionCount, slotCount = 6, 60
+	regions := map[ident.Region][]ident.Instance{}
+	regionOf := map[ident.Instance]ident.Region{}
+	for r := range regionCount {
+		region := ident.Region(fmt.Sprint("r", r))
+		for i := range 5 {
+			id := ident.Instance(fmt.Sprint(region, "-", i))
+			regions[region] = append(regions[region], id)
+			regionOf[id] = region
+		}
+	}
+	used := map[ident.Region]int{}
+	for slot := range Slot(slotCount) {
+		used[regionOf[Place(slot, regions)]]++
+	}
+	for region := range regions {
+		if used[region] != slotCount/regionCount {
+			t.Errorf("region %s holds %d of %d slots", region, used[region], slotCount)
+		}
+	}
+	for i := range 100 {
+		held := map[ident.Region]bool{}
+		slots := SlotsOf(ident.Team(fmt.Sprint("team-", i)), Allowance{Rate: 100, Burst: 100}, slotCount)
+		for _, s := range slots {
+			held[regionOf[Place(s, regions)]] = true
+		}
+		if len(held) != len(slots) {
+			t.Fatalf("the slots %v of a team are held in %d regions", slots, len(held))
+		}
+	}
+}
+
+// TestGrantOfNothing checks that a draw of no tokens from a bucket that has some gives
+// no negative wait.
+func TestGrantOfNothing(t *testing.T) {
+	al := NewAllocator(1)
+	a := Allowance{Rate: 10, Burst: 10}
+	if g := al.Grant(10_000, 0, 0, "team", a, 0); g.Tokens != 0 || g.RetryAfter != 0 {
+		t.Errorf("got %+v, want no tokens and no wait", g)
+	}
+}
