daemon, limit, choose, once: late broadcasts, and state that grew with the fleet's age

Cause: (1) a late datagram of a daemon's earlier incarnation was taken for a restart: all that it had admitted was taken from the teams' shares, and again at the next message of the present incarnation. (2) The counts of gone daemons (rates, retries, broadcasts), the buckets of idle and unknown teams, and the serials of cached answers were kept for ever.

Ruled out: ordering by incarnation number, which comes from a clock that may step.

--- a/choose/budget.go
+++ b/choose/budget.go
@@ -60,6 +60,27 @@
 	incarnation ident.Incarnation
 	requests    uint64
 	retries     uint64
+	// at is when the counts arrived.
+	at clock.Millis
+}
+
+// peerCountIdle is the time after which the counts of a silent daemon are dropped, in
+// milliseconds. A daemon that returns sets a new starting point.
+const peerCountIdle = 10 * clock.Minute
+
+// SweepRetryCounts drops the counts of daemons that were silent for peerCountIdle.
+func (p *Picker) SweepRetryCounts(now clock.Millis) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, s := range p.services {
+		s.mu.Lock()
+		for id, c := range s.budget.peerCounts {
+			if now-c.at > peerCountIdle {
+				delete(s.budget.peerCounts, id)
+			}
+		}
+		s.mu.Unlock()
+	}
 }
 
 // refill adds the retries earned since the last refill. The first time it starts
@@ -184,7 +205,7 @@
 		b.peerCounts = map[ident.Instance]peerCount{}
 	}
 	previous, known := b.peerCounts[from]
-	b.peerCounts[from] = peerCount{incarnation, count.Requests, count.Retries}
+	b.peerCounts[from] = peerCount{incarnation, count.Requests, count.Retries, now}
 	if !known || previous.incarnation != incarnation || count.Requests < previous.requests || count.Retries < previous.retries {
 		return
 	}
--- a/choose/cost_test.go
+++ b/choose/cost_test.go
@@ -279,3 +279,18 @@
 		t.Errorf("retry counts are %+v, want one retry", c)
 	}
 }
+
+// TestRetryCountsOfGoneDaemonsAreDropped replaces the daemons that share a budget for
+// hours.
+func TestRetryCountsOfGoneDaemonsAreDropped(t *testing.T) {
+	p := New("dc", "r", 1)
+	now := clock.Millis(0)
+	for i := range 500 {
+		now += clock.Minute
+		p.ApplyPeerRetries(now, ident.Instance(fmt.Sprint("peer-", i)), 1, RetryCount{Service: "svc", Requests: 1})
+		p.SweepRetryCounts(now)
+	}
+	if n := len(p.service("svc", true).budget.peerCounts); n > int(peerCountIdle/clock.Minute)+1 {
+		t.Errorf("counts of %d daemons are kept", n)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -382,6 +382,10 @@
 		case <-sweep.C:
 			d.allocator.Sweep(d.clk.Now())
 			d.tokenCache.Sweep(d.clk.Now())
+			d.picker.SweepRetryCounts(d.clk.Now())
+			if d.shares != nil {
+				d.shares.Sweep(d.clk.Now())
+			}
 		case <-sendStats.C:
 			now := d.clk.Now()
 			stats := d.guard.TargetStats(now)
--- a/daemon/local_broadcast.go
+++ b/daemon/local_broadcast.go
@@ -34,18 +34,70 @@
 	sequence     uint64
 	lastKey      string
 	sentAt       clock.Millis
-	// seen holds the last incarnation and sequence of each sender. Only the
-	// reading goroutine uses it.
-	seen map[ident.Instance]seenBroadcast
+	// seen is used by the reading goroutine only.
+	seen seenBroadcasts
 }
 
-type seenBroadcast struct {
-	inc      ident.Incarnation
+// seenBroadcasts decides which messages of other daemons are applied: each once, and
+// none of an incarnation that has been replaced.
+type seenBroadcasts struct {
+	senders map[ident.Instance]*seenSender
+	// sweptAt is when silent senders were last dropped.
+	sweptAt clock.Millis
+}
+
+// seenSender is the state of one sender.
+type seenSender struct {
+	incarnation ident.Incarnation
+	// sequence is that of the last message applied.
 	sequence uint64
+	// lastSeen is when it arrived.
+	lastSeen clock.Millis
+	// replaced is the incarnation before the present one; 0 if none is known.
+	// Incarnations of one instance are not ordered, because the clocks that they
+	// are read from may step.
+	replaced ident.Incarnation
+}
+
+// senderSilence is the time without a message after which a sender is dropped.
+const senderSilence = 2 * clock.Minute
+
+// accept reports whether a message is applied. listed is the incarnation of the sender
+// in this daemon's list of members, 0 if it is not listed. A late datagram of an
+// earlier incarnation would otherwise look like a restart, after which all that the
+// sender has admitted is counted again.
+func (s *seenBroadcasts) accept(now clock.Millis, from ident.Instance, inc ident.Incarnation, sequence uint64, listed ident.Incarnation) bool {
+	s.dropSilent(now)
+	e := s.senders[from]
+	switch {
+	case e == nil:
+		e = &seenSender{incarnation: inc}
+		s.senders[from] = e
+	case e.incarnation == inc && sequence <= e.sequence:
+		return false
+	case e.incarnation != inc && e.replaced == inc && listed != inc:
+		return false
+	case e.incarnation != inc:
+		e.incarnation, e.replaced = inc, e.incarnation
+	}
+	e.sequence, e.lastSeen = sequence, now
+	return true
+}
+
+func (s *seenBroadcasts) dropSilent(now clock.Millis) {
+	if now-s.sweptAt < senderSilence {
+		return
+	}
+	s.sweptAt = now
+	for id, e := range s.senders {
+		if now-e.lastSeen > senderSilence {
+			delete(s.senders, id)
+		}
+	}
 }
 
 func newLocalBroadcast(d *Daemon) *localBroadcast {
-	return &localBroadcast{d: d, sendRequests: make(chan struct{}, 1), seen: map[ident.Instance]seenBroadcast{}}
+	return &localBroadcast{d: d, sendRequests: make(chan struct{}, 1), seen: seenBroadcasts{senders: map[ident.Instance]*seenSender{}}}
 }
 
 // requestSend triggers a check for changed state at once. It does not block.
@@ -164,16 +216,20 @@
 	}
 }
 
-// apply handles a broadcast message. It ignores this daemon's own messages, and
-// messages that are not newer than the last one from the same incarnation.
+// apply handles a broadcast message. It ignores this daemon's own messages and those
+// that seenBroadcasts does not accept.
 func (bc *localBroadcast) apply(now clock.Millis, msg *wire.Near) {
 	bc.d.meter.DatagramsIn.Inc()
 	from := ident.Instance(msg.GetSender())
 	inc := ident.Incarnation(msg.GetIncarnation())
-	if previous := bc.seen[from]; previous.inc == inc && msg.GetSequence() <= previous.sequence || from == bc.d.instance {
+	if from == bc.d.instance {
+		return
+	}
+	_, listed, _ := bc.d.roster.Locate(from)
+	if !bc.seen.accept(now, from, inc, msg.GetSequence(), listed) {
+		bc.d.meter.Dropped.Inc()
 		return
 	}
-	bc.seen[from] = seenBroadcast{inc, msg.GetSequence()}
 	spends := make([]limit.AdmittedCount, 0, len(msg.GetSpends()))
 	for _, s := range msg.GetSpends() {
 		spends = append(spends, limit.AdmittedCount{Team: ident.Team(s.GetTeam()), Count: s.GetCount()})
--- a/limit/share_limiter.go
+++ b/limit/share_limiter.go
@@ -224,6 +224,41 @@
 	Peers int
 }
 
+// shareIdleTime is the time after which the full bucket of a team without requests and
+// the counts of a silent daemon are dropped, in milliseconds. A daemon that returns sets
+// a new starting point.
+const shareIdleTime = 10 * clock.Minute
+
+// Sweep drops the full buckets of teams that no daemon of the data centre has admitted
+// for shareIdleTime, all state of unknown teams, and the counts of daemons that were
+// silent for shareIdleTime. A bucket from which this daemon has admitted requests is kept: the other
+// daemons have its count, which must not go back.
+func (s *ShareLimiter) Sweep(now clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, p := range s.peers {
+		if now-p.lastReport > shareIdleTime {
+			delete(s.peers, id)
+		}
+	}
+	for team, b := range s.buckets {
+		if now-b.lastRefill <= shareIdleTime {
+			continue
+		}
+		t, known := s.teamLimits(team)
+		if !known || b.admitted == 0 && s.refill(now, t).level >= s.capacity(t) {
+			delete(s.buckets, team)
+		}
+	}
+	for _, p := range s.peers {
+		for team := range p.counts {
+			if _, known := s.teamLimits(team); !known {
+				delete(p.counts, team)
+			}
+		}
+	}
+}
+
 // Stats returns the current counts of teams and daemons.
 func (s *ShareLimiter) Stats(now clock.Millis) ShareStats {
 	s.mu.Lock()
--- a/limit/share_limiter_test.go
+++ b/limit/share_limiter_test.go
@@ -196,3 +196,41 @@
 		t.Errorf("%d requests within the rate were refused, want 0", refused)
 	}
 }
+
+// TestStateOfGoneTeamsAndDaemonsIsDropped replaces teams and daemons for hours, as a
+// fleet does over its life: what the limiter keeps must follow the present ones.
+func TestStateOfGoneTeamsAndDaemonsIsDropped(t *testing.T) {
+	known := map[ident.Team]record.Team{}
+	limits := func(id ident.Team) (record.Team, bool) { team, ok := known[id]; return team, ok }
+	s := NewShareLimiter(0, rand.New(rand.NewPCG(1, 1)), ShareConfig{DataCentres: 1, Window: 5000, Slack: 20}, limits)
+	now := clock.Millis(0)
+	for i := range 2000 {
+		now += clock.Minute
+		team := record.Team{ID: ident.Team(fmt.Sprint("team-", i)), Rate: 10, Burst: 10}
+		known = map[ident.Team]record.Team{team.ID: team, "steady": {ID: "steady", Rate: 1, Burst: 100}}
+		s.Take(now, team)
+		s.Take(now, known["steady"])
+		peer := ident.Instance(fmt.Sprint("peer-", i))
+		for _, n := range []uint64{1, 2} {
+			s.ApplyPeerCounts(now, peer, 1, []AdmittedCount{{team.ID, n}, {"steady", n}})
+		}
+		s.Sweep(now)
+	}
+	const limit = int(shareIdleTime/clock.Minute) + 2
+	counts := 0
+	for _, p := range s.peers {
+		counts += len(p.counts)
+	}
+	if len(s.buckets) > limit || len(s.peers) > limit || counts > 2*limit {
+		t.Errorf("%d buckets, %d daemons and %d counts are kept, want at most %d of each", len(s.buckets), len(s.peers), counts, limit)
+	}
+	admitted := uint64(0)
+	for _, c := range s.AdmittedCounts() {
+		if c.Team == "steady" {
+			admitted = c.Count
+		}
+	}
+	if admitted != 2000 {
+		t.Errorf("the count of a known team is %d, want 2000: it must not go back", admitted)
+	}
+}
--- a/once/ticket_table.go
+++ b/once/ticket_table.go
@@ -318,10 +318,19 @@
 		serial := t.order[0]
 		rec := t.records[serial]
 		if now < rec.expires || rec.state == stateRunning {
-			return
+			break
 		}
 		t.dropAnswer(serial)
 		delete(t.records, serial)
 		t.order = t.order[1:]
 	}
+	for len(t.cachedSerials) > 0 && !t.hasAnswer(t.cachedSerials[0]) {
+		t.cachedSerials = t.cachedSerials[1:]
+	}
+}
+
+// hasAnswer reports whether the answer of a ticket is cached.
+func (t *TicketTable) hasAnswer(serial uint64) bool {
+	rec := t.records[serial]
+	return rec != nil && rec.answer != nil
 }
--- a/once/ticket_table_test.go
+++ b/once/ticket_table_test.go
@@ -293,3 +293,29 @@
 		}
 	}
 }
+
+// TestCachedSerialsAreBounded uses tickets for many times their time to live, with
+// answers that never reach the size limit.
+func TestCachedSerialsAreBounded(t *testing.T) {
+	home := newTestHome("h", 1)
+	now := clock.Millis(0)
+	for range 5000 {
+		now += testTTL / 10
+		tickets, refusal := home.Issue(now, "team", "svc", 1)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		ticket, err := Parse(tickets[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		run, ok := home.Begin(now, ticket, "team", "svc").(Run)
+		if !ok {
+			t.Fatal("a new ticket may not run")
+		}
+		home.RecordAnswer(run.Serial, &Answer{Status: 200, Body: []byte("x")})
+	}
+	if len(home.cachedSerials) > testMaxTickets {
+		t.Errorf("%d serials of cached answers are kept for %d records", len(home.cachedSerials), home.UsedCount())
+	}
+}
