guard: targets that leave, return and replace each other

Cause: (1) a target without a start time that had deregistered stayed away for two minutes. (2) A target that announced itself to a draining daemon took work. (3) One draining time for all targets of an instance: a heartbeat of another target ended it, one draining target stopped the callers of the whole instance. (4) A replaced target's idle connections stayed open, and those in use were kept, at an address that another target may have. (5) A silent busy target was drained without a word to the other daemons, which went on sending to it.

Change: its tombstone counts for one registration time; new targets of a draining daemon drain; a draining time for each target, the instance has the last one; a replaced or removed target keeps no connection; the drain is published.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -112,6 +112,8 @@
 
 	mu   sync.Mutex
 	idle []*targetConn
+	// retired is true once the target is gone; connections are then not kept.
+	retired bool
 	// reducedIdleLimit bounds the idle time of a reused connection until
 	// reducedUntil.
 	reducedIdleLimit clock.Millis
@@ -193,6 +195,10 @@
 	c.reused = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.retired {
+		_ = c.Close()
+		return
+	}
 	p.idle = append(p.idle, c)
 }
 
@@ -208,6 +214,14 @@
 	p.reducedIdleLimit, p.reducedUntil = idleTime/2, now+reducedIdlePeriod
 }
 
+// retire closes the idle connections and keeps no others.
+func (p *connPool) retire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retired = true
+	p.closeIdle()
+}
+
 // closeAll closes the idle connections.
 func (p *connPool) closeAll() {
 	p.mu.Lock()
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -90,10 +90,10 @@
 	targets    map[ident.Target]*target
 	tombstones map[ident.Target]tombstone
 	draining   bool
-	// targetDrainingSince is when a local target started to drain, in
-	// milliseconds. It is 0 if none did, or if the most recent heartbeat, from
-	// whichever local target, says that its target does not drain.
-	targetDrainingSince clock.Millis
+	// lastLeftAt is when the last target that was removed while it drained started to
+	// drain, in milliseconds; 0 if none was since the last heartbeat of a target that
+	// does not drain.
+	lastLeftAt clock.Millis
 }
 
 // Deps holds the components that a guard uses.
@@ -154,11 +154,16 @@
 	t := g.targets[s.ID]
 	changed := t == nil || t.spec != s
 	if changed {
+		if t != nil {
+			t.retire()
+		}
 		t = newTarget(s, g.cfg, g.clk)
+		t.draining = g.draining
 		g.targets[s.ID] = t
 	}
 	t.mu.Lock()
 	t.lastAnnounced = max(now, 1)
+	t.setLeaving(now, false)
 	if t.draining && !g.draining {
 		t.draining = false
 		changed = true
@@ -272,7 +277,7 @@
 }
 
 // removeSilentTargets drains the targets whose last announcement is too old and
-// removes those of them that are idle. It reports whether it removed one.
+// removes those of them that are idle. It reports whether it drained or removed one.
 func (g *Guard) removeSilentTargets(now clock.Millis) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -280,13 +285,17 @@
 	for id, t := range g.targets {
 		t.mu.Lock()
 		silent := t.lastAnnounced > 0 && now-t.lastAnnounced > g.cfg.AnnounceTTL
+		draining, leavingSince := t.draining, t.leavingSince
 		t.mu.Unlock()
-		if silent && t.isIdle() {
+		switch {
+		case silent && t.isIdle():
 			delete(g.targets, id)
-			t.conns.closeAll()
+			t.retire()
+			g.lastLeftAt = max(g.lastLeftAt, leavingSince)
 			changed = true
-		} else if silent {
+		case silent && !draining:
 			t.setDraining(true)
+			changed = true
 		}
 	}
 	return changed
--- a/guard/heartbeat.go
+++ b/guard/heartbeat.go
@@ -22,7 +22,9 @@
 // the target again.
 const tombstoneTTL = 2 * clock.Minute
 
-// tombstone records a target that was deregistered.
+// tombstone records a target that was deregistered. Heartbeats of a target that does
+// not report its start time are ignored for Config.AnnounceTTL only, since a new
+// incarnation cannot be told from a late heartbeat.
 type tombstone struct {
 	startedAt clock.Millis
 	removedAt clock.Millis
@@ -35,7 +37,7 @@
 	now := g.clk.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.isStale(hb) {
+	if g.isStale(now, hb) {
 		g.log.Debug("stale heartbeat ignored", "target", hb.Spec.ID, "born", int64(hb.StartedAt), "sequence", hb.Sequence)
 		return false
 	}
@@ -44,7 +46,7 @@
 	if t == nil || t.startedAt != hb.StartedAt || t.spec != hb.Spec {
 		g.removeByAddress(hb.Spec.Address, t)
 		if t != nil {
-			t.setDraining(true)
+			t.retire()
 		}
 		t = newTarget(hb.Spec, g.cfg, g.clk)
 		g.targets[hb.Spec.ID] = t
@@ -53,7 +55,10 @@
 	t.mu.Lock()
 	t.startedAt, t.sequence, t.lastAnnounced = hb.StartedAt, hb.Sequence, max(now, 1)
 	drain := hb.Draining || g.draining
-	g.setTargetDraining(now, hb.Draining)
+	t.setLeaving(now, hb.Draining)
+	if !hb.Draining {
+		g.lastLeftAt = 0
+	}
 	if t.draining != drain {
 		changed = true
 	}
@@ -68,9 +73,9 @@
 // isStale reports whether a heartbeat is from an earlier incarnation, is not newer
 // than the last one applied, or is from a target that started before the one now
 // registered at its address. The caller holds mu.
-func (g *Guard) isStale(hb Heartbeat) bool {
+func (g *Guard) isStale(now clock.Millis, hb Heartbeat) bool {
 	if removed, ok := g.tombstones[hb.Spec.ID]; ok && hb.StartedAt <= removed.startedAt {
-		return true
+		return hb.StartedAt > 0 || removed.startedAt > 0 || now-removed.removedAt <= g.cfg.AnnounceTTL
 	}
 	for _, t := range g.targets {
 		t.mu.Lock()
@@ -91,7 +96,7 @@
 func (g *Guard) removeByAddress(address string, except *target) {
 	for id, t := range g.targets {
 		if t != except && t.spec.Address == address {
-			t.setDraining(true)
+			t.retire()
 			delete(g.targets, id)
 		}
 	}
@@ -115,35 +120,33 @@
 	}
 	t.mu.Lock()
 	startedAt := t.startedAt
+	t.setLeaving(now, true)
 	t.mu.Unlock()
 	g.tombstones[id] = tombstone{startedAt: startedAt, removedAt: now}
-	g.setTargetDraining(now, true)
 	t.setDraining(true)
 	g.log.Info("target leaves", "target", id)
 	return true
 }
 
-// setTargetDraining records whether the most recent heartbeat or deregistration,
-// from whichever local target, says that its target drains. The caller holds mu.
-func (g *Guard) setTargetDraining(now clock.Millis, draining bool) {
-	switch {
-	case !draining:
-		g.targetDrainingSince = 0
-	case g.targetDrainingSince == 0:
-		g.targetDrainingSince = max(now, 1)
-	}
-}
-
-// TargetDrainingSince returns when a local target started to drain, in milliseconds.
-// It returns 0 if none did, or if the most recent heartbeat, from whichever local
-// target, says that its target does not drain. The instance and the callers on it
-// stop together with the target.
+// TargetDrainingSince returns when the last of the local targets started to drain, by
+// their heartbeats, in milliseconds. It returns 0 while any of them does not drain. The
+// instance and the callers on it stop together with the targets.
 func (g *Guard) TargetDrainingSince() clock.Millis {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
-	return g.targetDrainingSince
+	since := g.lastLeftAt
+	for _, t := range g.targets {
+		t.mu.Lock()
+		leavingSince := t.leavingSince
+		t.mu.Unlock()
+		if leavingSince == 0 {
+			return 0
+		}
+		since = max(since, leavingSince)
+	}
+	return since
 }
 
-// IsTargetDraining reports whether a local target drains and its instance will
+// IsTargetDraining reports whether every local target drains, so that its instance will
 // stop.
 func (g *Guard) IsTargetDraining() bool { return g.TargetDrainingSince() > 0 }
--- /dev/null
+++ b/guard/heartbeat_test.go
@@ -0,0 +1,170 @@
+package guard
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"chestnutlatch/clock"
+	"chestnutlatch/fault"
+	"chestnutlatch/ident"
+)
+
+func testSpec(id ident.Target, address string) TargetSpec {
+	return TargetSpec{ID: id, Service: "svc", Address: address, Slots: 1}
+}
+
+// takesWork reports whether a guard has the target and would accept a request for it.
+func takesWork(g *Guard, id ident.Target) bool {
+	for _, t := range g.Targets() {
+		if t.ID == id {
+			return t.State != ident.TargetDraining
+		}
+	}
+	return false
+}
+
+// TestTargetWithoutStartTimeReturns covers a target that does not report its start
+// time and starts again under its ID: late heartbeats of its former run are ignored, its
+// new ones are not, for minutes.
+func TestTargetWithoutStartTimeReturns(t *testing.T) {
+	clk := clock.NewManual(1000)
+	g := newAttemptGuard(t, clk, TargetSpec{})
+	g.ApplyHeartbeat(Heartbeat{Spec: testSpec("t", "127.0.0.1:1"), Sequence: 50})
+	g.Deregister("t")
+	clk.Advance(g.cfg.AnnounceTTL)
+	g.ApplyHeartbeat(Heartbeat{Spec: testSpec("t", "127.0.0.1:1"), Sequence: 51})
+	if takesWork(g, "t") {
+		t.Error("a late heartbeat brought the target back")
+	}
+	clk.Advance(clock.Second)
+	g.Tick(clk.Now())
+	g.ApplyHeartbeat(Heartbeat{Spec: testSpec("t", "127.0.0.1:1"), Sequence: 1})
+	if !takesWork(g, "t") {
+		t.Error("the target is still refused after its restart")
+	}
+}
+
+// TestNoTargetJoinsDuringDrain covers a target that announces itself for the first time,
+// or with a changed spec, while the daemon stops.
+func TestNoTargetJoinsDuringDrain(t *testing.T) {
+	g := newAttemptGuard(t, clock.NewManual(1000), TargetSpec{})
+	g.Announce(testSpec("old", "127.0.0.1:1"))
+	g.Drain()
+	g.Announce(testSpec("new", "127.0.0.1:2"))
+	g.Announce(testSpec("old", "127.0.0.1:3"))
+	for _, id := range []ident.Target{"old", "new"} {
+		if takesWork(g, id) {
+			t.Errorf("target %s takes work at a draining daemon", id)
+		}
+	}
+}
+
+// TestInstanceDrainsWithItsLastTarget covers several targets of one instance: the
+// instance stops with the last of them, and the heartbeat of one target says nothing
+// about another.
+func TestInstanceDrainsWithItsLastTarget(t *testing.T) {
+	clk := clock.NewManual(1000)
+	g := newAttemptGuard(t, clk, TargetSpec{})
+	sequence := uint64(0)
+	beat := func(id ident.Target, draining bool) {
+		sequence++
+		g.ApplyHeartbeat(Heartbeat{Spec: testSpec(id, "127.0.0.1:1"+string(id)), Sequence: sequence, Draining: draining})
+	}
+	expect := func(when string, want clock.Millis) {
+		t.Helper()
+		if got := g.TargetDrainingSince(); got != want {
+			t.Errorf("%s: draining since %d, want %d", when, got, want)
+		}
+	}
+	beat("1", false)
+	beat("2", false)
+	expect("none drains", 0)
+	beat("1", true)
+	expect("one of two drains", 0)
+	clk.Advance(500)
+	beat("2", true)
+	expect("both drain", 1500)
+	clk.Advance(500)
+	beat("1", true)
+	expect("the first one repeats it", 1500)
+	g.Deregister("1")
+	clk.Advance(g.cfg.AnnounceTTL + 1)
+	beat("2", true)
+	g.Tick(clk.Now())
+	expect("the first one is gone", 1500)
+	clk.Advance(g.cfg.AnnounceTTL + 1)
+	g.Tick(clk.Now())
+	expect("both are gone", 1500)
+	beat("3", false)
+	expect("another one has started", 0)
+}
+
+// TestReplacedTargetKeepsNoConnection covers a target that starts again, or whose
+// address another target takes: the connections to the former one are closed, those in
+// use after their exchange.
+func TestReplacedTargetKeepsNoConnection(t *testing.T) {
+	for _, id := range []ident.Target{"t", "other"} {
+		ended := make(chan struct{}, 2)
+		f := startFakeTarget(t, func(n, _ int64, c net.Conn) bool {
+			writeString(c, okResponseWithID("a1", "x"))
+			if n == 1 {
+				_, _ = io.ReadAll(c)
+				ended <- struct{}{}
+			}
+			return false
+		})
+		clk := clock.NewManual(1000)
+		g := newAttemptGuard(t, clk, TargetSpec{})
+		g.ApplyHeartbeat(Heartbeat{Spec: testSpec("t", f.Addr().String()), StartedAt: 1, Sequence: 1})
+		former := g.findTarget("t")
+		if r := g.Forward(context.Background(), attemptRequest("a1", true)); r.GetRefusal() != nil {
+			t.Fatal(r.GetRefusal())
+		}
+		g.ApplyHeartbeat(Heartbeat{Spec: testSpec(id, f.Addr().String()), StartedAt: 2, Sequence: 1})
+		<-ended
+		conn, peer := net.Pipe()
+		former.conns.put(newTargetConn(conn))
+		if _, err := peer.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("a connection in use at the replacement was kept: %v", err)
+		}
+	}
+}
+
+// TestSilentTargetKeepsItsRequest covers a target that is busy and silent for longer
+// than its registration lasts: its request goes on, other daemons are told once that it
+// takes no new work, and its next heartbeat brings it back.
+func TestSilentTargetKeepsItsRequest(t *testing.T) {
+	release := make(chan struct{})
+	started := make(chan struct{})
+	f := startFakeTarget(t, func(_, _ int64, c net.Conn) bool {
+		close(started)
+		<-release
+		writeString(c, okResponseWithID("a1", "x"))
+		return true
+	})
+	clk := clock.NewManual(1000)
+	g := newAttemptGuard(t, clk, TargetSpec{})
+	g.ApplyHeartbeat(Heartbeat{Spec: testSpec("t", f.Addr().String()), StartedAt: 1, Sequence: 1})
+	done := make(chan string)
+	go func() {
+		reply := g.Forward(context.Background(), attemptRequest("a1", true))
+		done <- string(reply.GetAnswer().GetBody())
+	}()
+	<-started
+	clk.Advance(g.cfg.AnnounceTTL + 1)
+	if !g.Tick(clk.Now()) || g.Tick(clk.Now()) {
+		t.Error("the drain of the silent target must be reported once")
+	}
+	if r := RefusalFromWire(g.Forward(context.Background(), attemptRequest("a2", true)).GetRefusal()); r.Kind != fault.Draining || r.Outcome != ident.OutcomeNotRun {
+		t.Errorf("a new request got %v, want draining not_run", r)
+	}
+	if !g.ApplyHeartbeat(Heartbeat{Spec: testSpec("t", f.Addr().String()), StartedAt: 1, Sequence: 2}) || !takesWork(g, "t") {
+		t.Error("the heartbeat did not bring the target back")
+	}
+	close(release)
+	if body := <-done; body != "x" {
+		t.Errorf("the running request got %q", body)
+	}
+}
--- a/guard/target.go
+++ b/guard/target.go
@@ -49,6 +49,9 @@
 	lastProbe clock.Millis
 	// draining is true if the target accepts no new requests.
 	draining bool
+	// leavingSince is when a heartbeat or the deregistration first said that the target
+	// drains, in milliseconds; 0 if the last one does not say so.
+	leavingSince clock.Millis
 	// startedAt and sequence are the values of the last heartbeat.
 	startedAt clock.Millis
 	sequence  uint64
@@ -319,6 +322,23 @@
 	}
 }
 
+// setLeaving records whether the target says that it drains. The caller holds mu.
+func (t *target) setLeaving(now clock.Millis, leaving bool) {
+	switch {
+	case !leaving:
+		t.leavingSince = 0
+	case t.leavingSince == 0:
+		t.leavingSince = max(now, 1)
+	}
+}
+
+// retire drains a target that is replaced or removed, and closes its connections: the
+// idle ones now, the others after their exchange. Another target may use its address.
+func (t *target) retire() {
+	t.setDraining(true)
+	t.conns.retire()
+}
+
 // suspicion returns the estimated probability, 0 to 1, that the target is in a
 // failure episode.
 func (t *target) suspicion(now clock.Millis) float64 {
