clock, guard, entry: a paused daemon refuses what has expired meanwhile

Cause: time limits on the wire are relative. A daemon that was paused for seconds read the requests that had lain unread and gave each its whole time limit: actions ran although their callers had given up.

A guard records such an attempt, so that a later copy does not run either.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -227,6 +227,10 @@
 	if refusal != nil {
 		return nil, unknownIfTicket(ticket, refusal)
 	}
+	if timeout -= e.Guard.UnreadTime(now); timeout <= 0 {
+		return nil, unknownIfTicket(ticket, fault.NotRun(fault.DeadlineExceeded,
+			"this daemon was paused for longer than the request's time limit: repeat the request"))
+	}
 	r := &request{route: route, team: team, began: now, deadline: now + timeout}
 	if route.OneTime {
 		r.ticket = ticket
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -284,6 +284,22 @@
 	}
 }
 
+// TestPausedEntryRefusesExpiredRequests covers requests that are read after a pause that
+// was longer than their time limit.
+func TestPausedEntryRefusesExpiredRequests(t *testing.T) {
+	s := newTestEntry(t, [2]string{okAnswer, okAnswer})
+	now := s.Clock.Now()
+	s.Guard.Tick(now)
+	s.Guard.Tick(now + 5000)
+	s.Clock = clock.NewManual(now + 5000)
+	if status, kind, outcome := s.request("GET", "/lookup", withKey(), ""); status != 504 || kind != "deadline_exceeded" || outcome != "not_run" {
+		t.Errorf("got %d %s %s, want 504 deadline_exceeded not_run", status, kind, outcome)
+	}
+	if n := s.hits[0].Load() + s.hits[1].Load(); n != 0 {
+		t.Errorf("targets got %d requests", n)
+	}
+}
+
 // TestRequestMetrics covers the metrics that count requests by kind and result.
 func TestRequestMetrics(t *testing.T) {
 	s := newTestEntry(t, [2]string{okAnswer, okAnswer})
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -76,6 +76,8 @@
 	// isDrained reports whether operators have drained a target.
 	isDrained func(ident.Target) bool
 
+	// pauses counts the time for which requests may have lain unread.
+	pauses clock.PauseDetector
 	// lastExchange is the ID of the last request sent to a target; see
 	// Dialect.Exchange.
 	lastExchange atomic.Uint64
@@ -263,6 +265,7 @@
 // health states and removes targets that stopped announcing themselves. It
 // reports whether a target was removed or changed its health state.
 func (g *Guard) Tick(now clock.Millis) bool {
+	g.pauses.Tick(now)
 	changed := g.removeSilentTargets(now)
 	for _, t := range g.sortedTargets() {
 		t.expire(now)
@@ -301,6 +304,10 @@
 	return changed
 }
 
+// UnreadTime returns the time for which a request that is read now may have lain unread
+// because this process was paused, in milliseconds.
+func (g *Guard) UnreadTime(now clock.Millis) clock.Millis { return g.pauses.Waited(now) }
+
 // RetryShare returns the share of the running requests that are retries, 0 to 1.
 // It estimates the share of retries among the calls that local targets make.
 func (g *Guard) RetryShare() float64 {
--- a/guard/platform_test.go
+++ b/guard/platform_test.go
@@ -449,3 +449,34 @@
 		t.Errorf("target got %d requests, want 2: the running one and the other sender's", n)
 	}
 }
+
+// TestPausedGuardRefusesExpiredRequests covers requests that lay unread while the daemon
+// was paused for longer than their time limit: their callers have given up. A copy that
+// arrives later must not run either.
+func TestPausedGuardRefusesExpiredRequests(t *testing.T) {
+	f := startFakeTarget(t, func(_, _ int64, c net.Conn) bool { writeString(c, okResponseWithID("a1", "x")); return false })
+	clk := clock.NewManual(1000)
+	g := newAttemptGuard(t, clk, TargetSpec{ID: "t", Service: "svc", Address: f.Addr().String(), Slots: 1})
+	g.Tick(clk.Now())
+	clk.Advance(5000)
+	req := attemptRequest("a1", true)
+	req.SenderIncarnation = 7
+	for _, when := range []string{"before the next tick", "after it", "a later copy"} {
+		r := RefusalFromWire(g.Forward(context.Background(), req).GetRefusal())
+		if r.Kind != fault.DeadlineExceeded || r.Outcome != ident.OutcomeNotRun {
+			t.Errorf("%s: got %v, want deadline_exceeded not_run", when, r)
+		}
+		if when == "after it" {
+			clk.Advance(500)
+		}
+		g.Tick(clk.Now())
+	}
+	if n := f.requests.Load(); n != 0 {
+		t.Errorf("the target got %d requests", n)
+	}
+	fresh := attemptRequest("a1", false)
+	fresh.SenderIncarnation = 7
+	if reply := g.Forward(context.Background(), fresh); reply.GetAnswer() == nil {
+		t.Errorf("a request after the pause was refused: %v", reply.GetRefusal())
+	}
+}
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -37,6 +37,13 @@
 		return nil, r, false
 	}
 	timeout := clock.Millis(req.GetTimeoutMs())
+	if ident.Incarnation(req.GetSenderIncarnation()) != g.cfg.Incarnation {
+		// The entry of this daemon has taken its own pause into account.
+		timeout -= g.UnreadTime(now)
+	}
+	if timeout <= 0 {
+		return nil, queueRefusal(fault.DeadlineExceeded, t.spec.ID), false
+	}
 	job := queue.Job{
 		Team:     ident.Team(req.GetTeam()),
 		Priority: min(ident.Priority(req.GetPriority()), ident.PriorityUrgent),
