member: reject fields that are out of range

Cause: kinds, statuses, target states, slots and versions from the wire were taken as they came: an unknown status won over every known one, and the version 2^64-1 wrapped to 0 when its subject refuted it.

Result: TestOutOfRangeFieldsAreRejected (each case accepted before) and TestRefutedVersionDoesNotWrap pass.

--- a/member/codec.go
+++ b/member/codec.go
@@ -34,8 +34,31 @@
 	return b, nil
 }
 
-// Decode unmarshals the payload of a datagram. It does not validate the fields:
-// kinds and statuses may be out of range.
+// maxVersion is the highest version of a record that is accepted. A daemon refutes a
+// record about itself with a higher version, which must not wrap.
+const maxVersion = 1 << 62
+
+// maxSlots is the highest number of slots of a target that is accepted.
+const maxSlots = 1 << 20
+
+// check returns an error if a record from outside has a field that is out of range.
+func (m *Member) check() error {
+	if !m.Status.IsAStatus() {
+		return errors.Errorf("member %q has the unknown status %d", m.Instance, int(m.Status))
+	}
+	if m.Version > maxVersion {
+		return errors.Errorf("member %q has the version %d, over %d", m.Instance, m.Version, uint64(maxVersion))
+	}
+	for _, t := range m.Targets {
+		if !t.State.IsATargetState() || t.Slots < 0 || t.Slots > maxSlots {
+			return errors.Errorf("target %q of member %q has state %d and %d slots", t.ID, m.Instance, int(t.State), t.Slots)
+		}
+	}
+	return nil
+}
+
+// Decode unmarshals the payload of a datagram. It returns an error if the kind is
+// unknown or a record has a field that is out of range.
 func Decode(b []byte) (Message, error) {
 	var d wire.Datagram
 	if err := proto.Unmarshal(b, &d); err != nil {
@@ -50,8 +73,15 @@
 		Revision:    ident.Revision(d.GetRevision()),
 		Buckets:     d.GetBuckets(),
 	}
+	if !m.Kind.IsAMessageKind() {
+		return Message{}, errors.Errorf("datagram of %q has the unknown kind %d", m.Sender, int(m.Kind))
+	}
 	for _, r := range d.GetMembers() {
-		m.Members = append(m.Members, memberFromWire(r))
+		record := memberFromWire(r)
+		if err := record.check(); err != nil {
+			return Message{}, err
+		}
+		m.Members = append(m.Members, record)
 	}
 	for _, t := range d.GetVitals() {
 		m.TargetStats = append(m.TargetStats, statsFromWire(t))
@@ -135,11 +165,13 @@
 	return b, nil
 }
 
-// DecodeMember unmarshals a record that EncodeMember wrote.
+// DecodeMember unmarshals a record that EncodeMember wrote. It returns an error if a
+// field is out of range.
 func DecodeMember(b []byte) (*Member, error) {
 	var w wire.Member
 	if err := proto.Unmarshal(b, &w); err != nil {
 		return nil, errors.Wrap(err, "decode member")
 	}
-	return memberFromWire(&w), nil
+	m := memberFromWire(&w)
+	return m, m.check()
 }
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -335,6 +336,57 @@
 	}
 }
 
+// TestOutOfRangeFieldsAreRejected covers kinds, statuses, states and versions that no
+// daemon sends. A status above the known ones would win over every other one, and a
+// version at the end of its range would wrap when its subject refutes it.
+func TestOutOfRangeFieldsAreRejected(t *testing.T) {
+	valid := Member{Instance: "x", Incarnation: 1, Version: 1, Targets: []Target{{ID: "t", State: ident.TargetDraining, Slots: 4}}}
+	tests := map[string]func(m *Message, r *Member){
+		"unknown kind":   func(m *Message, _ *Member) { m.Kind = MessageVitals + 1 },
+		"unknown status": func(_ *Message, r *Member) { r.Status = StatusLeft + 1 },
+		"huge status":    func(_ *Message, r *Member) { r.Status = 1 << 31 },
+		"last version":   func(_ *Message, r *Member) { r.Version = math.MaxUint64 },
+		"unknown state":  func(_ *Message, r *Member) { r.Targets = []Target{{ID: "t", State: 99}} },
+		"huge slots":     func(_ *Message, r *Member) { r.Targets = []Target{{ID: "t", Slots: math.MaxInt32}} },
+	}
+	for name, change := range tests {
+		record := valid
+		m := Message{Kind: MessagePing, Sender: "x", Incarnation: 1, Members: []*Member{&record}}
+		b, err := Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(b); err != nil {
+			t.Fatalf("valid datagram: %v", err)
+		}
+		change(&m, &record)
+		if b, err = Encode(m); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(b); err == nil {
+			t.Errorf("%s: datagram was accepted", name)
+		}
+		if b, err = EncodeMember(&record); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := DecodeMember(b); err == nil && name != "unknown kind" {
+			t.Errorf("%s: record was accepted", name)
+		}
+	}
+}
+
+// TestRefutedVersionDoesNotWrap lets another member claim the highest version for this
+// daemon's record.
+func TestRefutedVersionDoesNotWrap(t *testing.T) {
+	v := New(DefaultConfig(), Member{Instance: "self", Incarnation: 1}, rand.New(rand.NewPCG(1, 1)), 0)
+	v.Receive(1, "127.0.0.1:1", Message{Kind: MessagePing, Sender: "x", Incarnation: 1, Members: []*Member{
+		{Instance: "self", Incarnation: 1, Version: maxVersion, Status: StatusSuspect},
+	}})
+	if got := v.Self().Version; got <= maxVersion {
+		t.Errorf("version is %d after a record with %d was refuted, want more", got, uint64(maxVersion))
+	}
+}
+
 // FuzzReceive passes arbitrary datagrams to a view, as an attacker with the fleet's
 // secret could send them. No datagram may cause a panic.
 func FuzzReceive(f *testing.F) {
