guard: a paused daemon gives its targets time to report

Cause: after a pause longer than a registration (six heartbeats) the first tick removed the targets, whose heartbeats could not be heard meanwhile: requests to sound targets were refused until the next heartbeat, and their history was lost.

Change: silence counts from the end of the pause.

Result: TestPausedDaemonKeepsItsTargets failed before and passes; the tests of silent targets now tick as a running process does.

--- a/clock/pause.go
+++ b/clock/pause.go
@@ -47,3 +47,10 @@
 		return 0
 	}
 }
+
+// ResumedAt returns the time of the first tick after the last pause; 0 without one.
+func (p *PauseDetector) ResumedAt() Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.resumedAt
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -285,9 +285,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	changed := false
+	// A target could not be heard while this process was paused.
+	resumedAt := g.pauses.ResumedAt()
 	for id, t := range g.targets {
 		t.mu.Lock()
-		silent := t.lastAnnounced > 0 && now-t.lastAnnounced > g.cfg.AnnounceTTL
+		silent := t.lastAnnounced > 0 && now-max(t.lastAnnounced, resumedAt) > g.cfg.AnnounceTTL
 		draining, leavingSince := t.draining, t.leavingSince
 		t.mu.Unlock()
 		switch {
