--- a/daemon/caller_conn.go
+++ b/daemon/caller_conn.go
@@ -24,6 +24,9 @@
 	// platformHeaderBytes is the largest request header on a platform. Without a
 	// platform, the HTTP library's limit of 4 KiB applies.
 	platformHeaderBytes = 64 << 10
+	// lastAcceptTime is how long a stopping daemon still accepts connections of
+	// callers that have not yet noticed.
+	lastAcceptTime = 50 * time.Millisecond
 )
 
 // exchangePhase is the part of an HTTP exchange that a connection is in.
@@ -213,10 +216,6 @@
 	return len(l.conns)
 }
 
-// lastAcceptTime is how long a stopping daemon still accepts connections of callers
-// that have not yet noticed.
-const lastAcceptTime = 50 * time.Millisecond
-
 // callerLimits returns the limits on request bodies, header times and idle
 // times: those of the configuration, or the daemon's defaults where it sets
 // none. The body limit never exceeds readBodyFactor times max_request_bytes,
--- a/entry/http.go
+++ b/entry/http.go
@@ -39,8 +39,8 @@
 	"transfer-encoding": true, "upgrade": true, "content-length": true, "expect": true,
 }
 
-// strippedAnswerHeaders are the hop-by-hop, length and exchange headers of a target's answer,
-// which are not passed to callers.
+// strippedAnswerHeaders are the hop-by-hop, length and exchange headers of a target's
+// answer, which are not passed to callers.
 var strippedAnswerHeaders = map[string]bool{
 	"connection": true, "keep-alive": true, "transfer-encoding": true, "content-length": true,
 	"trailer": true, "upgrade": true, strings.ToLower(guard.ExchangeHeader): true,
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -76,7 +76,8 @@
 	// isDrained reports whether operators have drained a target.
 	isDrained func(ident.Target) bool
 
-	// pauses counts the time for which requests may have lain unread.
+	// pauses notices pauses of this process, in which requests and heartbeats lie
+	// unread.
 	pauses clock.PauseDetector
 	// lastExchange is the ID of the last request sent to a target; see
 	// Dialect.Exchange.
