--- a/daemon/shutdown_test.go
+++ b/daemon/shutdown_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,6 +79,41 @@
 	}
 }
 
+// gatedListener accepts connections that read once and then not before the gate is
+// closed.
+type gatedListener struct {
+	net.Listener
+	gate chan struct{}
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{TCPConn: c.(*net.TCPConn), gate: l.gate}, nil
+}
+
+// SetDeadline sets the deadline of Accept.
+func (l gatedListener) SetDeadline(t time.Time) error {
+	return l.Listener.(*net.TCPListener).SetDeadline(t)
+}
+
+type gatedConn struct {
+	*net.TCPConn
+	gate chan struct{}
+	// used is true after the first read.
+	used bool
+}
+
+func (c *gatedConn) Read(b []byte) (int, error) {
+	if c.used {
+		<-c.gate
+	}
+	c.used = true
+	return c.TCPConn.Read(b)
+}
+
 // TestStopAnswersRequestsInSocketBuffer covers requests that have arrived on idle
 // connections and that the daemon has not read when it stops, also on connections that
 // were used before. Connections without a request are closed without a response.
@@ -88,22 +122,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	// The first request on each connection closes the gate. While it is closed, the
-	// connections do not read.
-	closed := make(chan struct{})
-	var gateClosed atomic.Bool
+	gate := make(chan struct{})
 	limits := func() record.CallerLimits {
-		if gateClosed.Load() {
-			<-closed
-		}
 		return record.CallerLimits{HeaderTimeout: clock.Minute, IdleTimeout: clock.Minute}
 	}
-	l := newCallerListener(raw, clock.NewSystem(), limits)
-	s := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) { gateClosed.Store(true) }, CloseOnShutdown: true}
+	l := newCallerListener(gatedListener{raw, gate}, clock.NewSystem(), limits)
+	s := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}, CloseOnShutdown: true}
 	go func() { _ = s.Serve(l) }()
 	var withRequest, idle []net.Conn
 	for i := range 20 {
-		gateClosed.Store(false)
 		c, err := net.Dial("tcp", raw.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -132,7 +159,7 @@
 	for !l.allReadClosed() {
 		time.Sleep(time.Millisecond)
 	}
-	close(closed)
+	close(gate)
 	for i, c := range withRequest {
 		if status := readStatus(c); status != 200 {
 			t.Errorf("caller %d got status %d, want 200", i, status)
