--- a/review/tool/upstream.go
+++ b/review/tool/upstream.go
@@ -44,6 +44,8 @@
 type treatment struct {
 	work  time.Duration
 	reset bool
+	// header is the value of an additional header of the answer; empty for none.
+	header string
 	// raw replaces the answer; it writes to the connection until it returns.
 	raw func(net.Conn)
 }
@@ -137,6 +139,9 @@
 		return
 	}
 	w.Header().Set(names.Signature, "sig."+id)
+	if t.header != "" {
+		w.Header().Set("X-Note", t.header)
+	}
 	_, _ = fmt.Fprintf(w, "%s ran %s\n", u.id, id)
 }
 
