review: a settings change during a planned stop ends the daemon

The watch of the settings file gives SIGHUP back its default effect when the planned stop begins, so a SIGHUP during the stop ends the process at once.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of deploy/system.toml and review/build.sh first" >&2
   exit 2
 fi
-exec review/bin/case late-beat review/4
+exec review/bin/case watch review/4
