--- a/review/tool/hup.go
+++ b/review/tool/hup.go
@@ -15,6 +15,8 @@
 
 // caseHup stops a daemon as planned while it serves requests, and tells it during the
 // stop that its settings file has changed. Without the disruption it is only stopped.
+// Two measurements for the review's report go with TROUBLE=0: MODE=twice sends SIGTERM
+// twice, and with MODE=silent the store gives the daemon no response.
 func caseHup(folder string) bool {
 	const (
 		work     = 1500 * time.Millisecond
@@ -50,6 +52,11 @@
 	stopped := time.Now()
 	r.log("SIGTERM to the daemon of %s", h.name)
 	h.signal(syscall.SIGTERM)
+	if os.Getenv("MODE") == "twice" {
+		time.Sleep(hupDelay)
+		r.log("SIGTERM again")
+		h.signal(syscall.SIGTERM)
+	}
 	if r.trouble {
 		time.Sleep(hupDelay)
 		file := filepath.Join(r.dir, h.name+".ini")
--- a/review/tool/soak.go
+++ b/review/tool/soak.go
@@ -23,7 +23,8 @@
 
 // caseSoak is no case of the review: it stops, kills and ends daemons at random for 45 s
 // under load, and compares the answers with what the upstreams ran. MODE lists the kinds
-// of events (stop, kill, term, hup, drain; lost adds lost answers), SEED draws them.
+// of events (stop,
+// longstop, kill, killall, term, hup, drain, store; lost adds lost answers), SEED draws them.
 func caseSoak(folder string) bool {
 	mode := os.Getenv("MODE")
 	var seed uint64
@@ -109,6 +110,33 @@
 			time.Sleep(d)
 			h.signal(syscall.SIGCONT)
 			time.Sleep(time.Duration(rnd.IntN(1500)) * time.Millisecond)
+		case "longstop":
+			d := time.Duration(8000+rnd.IntN(7000)) * time.Millisecond
+			r.log("SOAK stop %s for %s", h.name, d)
+			h.signal(syscall.SIGSTOP)
+			time.Sleep(d)
+			h.signal(syscall.SIGCONT)
+			time.Sleep(3 * time.Second)
+		case "store":
+			for _, other := range r.hosts {
+				if rnd.IntN(2) == 0 {
+					d := time.Duration(300+rnd.IntN(5000)) * time.Millisecond
+					r.log("SOAK the store gives no response to %s for %s", other.name, d)
+					other.store.silence(d)
+				}
+			}
+			time.Sleep(time.Duration(rnd.IntN(2500)) * time.Millisecond)
+		case "killall":
+			r.log("SOAK kill all")
+			for _, other := range r.hosts {
+				other.signal(syscall.SIGKILL)
+				other.wait(time.Second)
+			}
+			time.Sleep(time.Duration(100+rnd.IntN(900)) * time.Millisecond)
+			for _, other := range r.hosts {
+				other.start(false)
+			}
+			time.Sleep(time.Duration(2000+rnd.IntN(2500)) * time.Millisecond)
 		case "kill":
 			r.log("SOAK kill %s", h.name)
 			h.signal(syscall.SIGKILL)
