serve: SIGHUP no longer ends a daemon that is stopping

Cause: watchSettings registered SIGHUP and released it when SIGTERM ended its context. The default action of SIGHUP ends the process; the planned stop goes on for seconds after SIGTERM. The platform changes settings as instances come and go, so releases and rolling restarts met it too.

Ruled out: other work that ends with SIGTERM's context (there is none), a second SIGTERM or SIGINT (ignored before and after).

Change: signals are registered before anything else in serve, so that one during the start is handled too; SIGHUP is never released, and settings are watched until the stop is over.

--- a/admin/serve/reload.go
+++ b/admin/serve/reload.go
@@ -17,13 +17,19 @@
 // file is polled because it may change without a SIGHUP.
 const settingsPollInterval = 2 * time.Second
 
-// watchSettings calls reload when the content of the settings file changes, and
-// on every SIGHUP. A file that cannot be read or is invalid leaves the settings
-// unchanged. It returns when ctx is done.
-func watchSettings(ctx context.Context, file string, log hclog.Logger, reload func(*setup.Settings)) {
+// notifyHangup returns a channel that receives SIGHUP for the rest of the process's
+// life. The signal is never given back its default action, which would end a daemon
+// that is still answering requests.
+func notifyHangup() <-chan os.Signal {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+	return hup
+}
+
+// watchSettings calls reload when the content of the settings file changes, and
+// on every signal from hup. A file that cannot be read or is invalid leaves the
+// settings unchanged. It returns when ctx is done.
+func watchSettings(ctx context.Context, file string, hup <-chan os.Signal, log hclog.Logger, reload func(*setup.Settings)) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	last, err := os.ReadFile(file)
--- a/admin/serve/reload_test.go
+++ b/admin/serve/reload_test.go
@@ -45,7 +45,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		watchSettings(ctx, file, hclog.New(&hclog.LoggerOptions{Output: &out}), func(*setup.Settings) {})
+		watchSettings(ctx, file, notifyHangup(), hclog.New(&hclog.LoggerOptions{Output: &out}), func(*setup.Settings) {})
 	}()
 	if err := os.Remove(file); err != nil {
 		t.Fatal(err)
--- a/admin/serve/serve.go
+++ b/admin/serve/serve.go
@@ -56,6 +56,11 @@
 }
 
 func serveRun(ctx context.Context, opts *Options) error {
+	// Registered before everything else and released after it, since each of these
+	// signals ends the process by default.
+	hup := notifyHangup()
+	ctx, releaseSignals := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer releaseSignals()
 	cfg, err := setup.Load(opts.File)
 	if err != nil {
 		return err
@@ -73,9 +78,10 @@
 		return err
 	}
 	d.RegisterDroppedLines(writer.Dropped)
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go watchSettings(ctx, opts.File, log, d.Reload)
+	// Settings also change during a planned stop, so the watch does not end with ctx.
+	watchCtx, endWatch := context.WithCancel(context.WithoutCancel(ctx))
+	defer endWatch()
+	go watchSettings(watchCtx, opts.File, hup, log, d.Reload)
 	return d.Run(ctx)
 }
 
