daemon: pass form bodies on as they were sent

Cause: the callers' HTTP server parses forms while it reads them unless told not to. The raw bytes are then gone, and PostBody encodes the parsed form anew.

Change: the daemon's servers are created by newServer, which leaves forms alone.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -179,7 +179,7 @@
 	d.inner = grpc.NewServer(peers.ServerOptions(creds, cfg.FleetSecret)...)
 	registerInner(d)
 	d.callers = d.newCallers()
-	d.operator = &fasthttp.Server{Handler: d.handleOperator, Name: "chestnutlatch", NoDefaultServerHeader: true}
+	d.operator = newServer(d.handleOperator)
 	d.registerGauges()
 	return d, nil
 }
@@ -193,8 +193,8 @@
 	d.localBroadcast = newLocalBroadcast(d)
 	d.loadSummary = newLoadSummary(d)
 	d.shares = limit.NewShareLimiter(d.clk.Now(), mrand.New(mrand.NewPCG(rnd.Uint64(), rnd.Uint64())), shareConfig(d.cfg), d.table.Team)
-	d.ready = &fasthttp.Server{Handler: d.serveReadiness, NoDefaultServerHeader: true}
-	d.announce = &fasthttp.Server{Handler: d.serveAnnouncements, NoDefaultServerHeader: true}
+	d.ready = newServer(d.serveReadiness)
+	d.announce = newServer(d.serveAnnouncements)
 }
 
 func randomSeedAndSecret() (seed uint64, secret []byte, err error) {
@@ -252,25 +252,33 @@
 	return entry.New(deps)
 }
 
-func (d *Daemon) newCallers() *fasthttp.Server {
-	headerBytes := 0
-	if d.platform != nil {
-		headerBytes = platformHeaderBytes
-	}
+// newServer returns an HTTP server that passes request bodies to its handler as they
+// were sent.
+func newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:               d.handle,
-		HeaderReceived:        d.requestLimits,
-		ErrorHandler:          d.entry.OnError,
+		Handler:               handler,
 		Name:                  "chestnutlatch",
 		NoDefaultServerHeader: true,
-		NoDefaultContentType:  d.platform != nil,
-		NoDefaultDate:         d.platform != nil,
-		ReadBufferSize:        headerBytes,
-		MaxRequestBodySize:    readBodyFactor * d.cfg.MaxRequestBytes,
-		Concurrency:           d.cfg.MaxCallers,
-		CloseOnShutdown:       true,
-		Logger:                serverLogger{d.log},
+		// A parsed form has no raw body: PostBody encodes the form again, with other
+		// bytes, and a form that cannot be parsed is refused.
+		DisablePreParseMultipartForm: true,
+	}
+}
+
+func (d *Daemon) newCallers() *fasthttp.Server {
+	s := newServer(d.handle)
+	s.HeaderReceived = d.requestLimits
+	s.ErrorHandler = d.entry.OnError
+	s.NoDefaultContentType = d.platform != nil
+	s.NoDefaultDate = d.platform != nil
+	if d.platform != nil {
+		s.ReadBufferSize = platformHeaderBytes
 	}
+	s.MaxRequestBodySize = readBodyFactor * d.cfg.MaxRequestBytes
+	s.Concurrency = d.cfg.MaxCallers
+	s.CloseOnShutdown = true
+	s.Logger = serverLogger{d.log}
+	return s
 }
 
 // requestLimits returns the limits for reading a request's body. It is called
