daemon: check that the watch of the configuration has missed nothing

Cause: the store had lost the answers to the data centre's watches. Nothing showed on the connections, other calls were served, and the watches ran for 22 s. A newer revision is told within a data centre, but there nobody had it.

Ruled out: the failure of another call, which ends the watch already.

Weighed: shorter watches (a call a second and daemon); stale reads (may be seconds old); the revision in the load summaries (nothing if all data centres are hit); store_revision in the listing (stale).

Change: the first daemon of a data centre reads the document 1.1 s after it was last known to be the newest, the others up to 0.45 s later; the broadcast in the data centre carries when that was. A watch that has not delivered a configuration 1 s after it came from elsewhere is started again, and logged.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -189,7 +189,7 @@
 func (d *Daemon) initPlatform(rnd *mrand.Rand) {
 	d.roster = newRosterFleet(d, rnd)
 	d.fleet = d.roster
-	d.documentSyncer = newDocumentSyncer(d)
+	d.documentSyncer = newDocumentSyncer(d, mrand.New(mrand.NewPCG(rnd.Uint64(), rnd.Uint64())))
 	d.localBroadcast = newLocalBroadcast(d)
 	d.loadSummary = newLoadSummary(d)
 	d.shares = limit.NewShareLimiter(d.clk.Now(), mrand.New(mrand.NewPCG(rnd.Uint64(), rnd.Uint64())), shareConfig(d.cfg), d.table.Team)
--- a/daemon/document_sync.go
+++ b/daemon/document_sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"time"
@@ -30,17 +31,29 @@
 	peerPollInterval = time.Second
 	// peerPollCount is the number of daemons asked in one poll.
 	peerPollCount = 2
+	// watchLagLimit is how long the watch may take to deliver a configuration that
+	// this daemon already has from elsewhere. It is then started again.
+	watchLagLimit = time.Second
 	// snapshotTimeout limits the transfer of a configuration from a peer on a
 	// platform.
 	snapshotTimeout = 2 * time.Second
 )
 
 // documentSyncer keeps the table up to date with the configuration that
-// operators store as one document. It watches the document and fetches newer
-// revisions from peers if the watch is slow or the store is unavailable.
+// operators store as one document. It watches the document, checks regularly that the
+// watch has missed nothing, and fetches newer revisions from peers if the watch is slow
+// or the store is unavailable.
 type documentSyncer struct {
 	d            *Daemon
 	pullRequests chan string
+	freshness    *revisionFreshness
+	// checks counts the successful checks of this daemon. They are broadcast at once.
+	checks atomic.Uint64
+	// lastKeyRevision is the highest revision of the document's key that was decoded.
+	lastKeyRevision atomic.Uint64
+	// watchedRevision is the highest configuration revision that the watch, or the read
+	// before it, has delivered.
+	watchedRevision atomic.Uint64
 	// highestPeerRevision is the highest revision reported by a peer.
 	highestPeerRevision atomic.Uint64
 	// introducedDuring is the failingSince of the outage in which this daemon
@@ -76,12 +89,13 @@
 	return 0
 }
 
-func newDocumentSyncer(d *Daemon) *documentSyncer {
-	return &documentSyncer{d: d, pullRequests: make(chan string, maxPullRequests)}
+func newDocumentSyncer(d *Daemon, rnd *rand.Rand) *documentSyncer {
+	return &documentSyncer{d: d, pullRequests: make(chan string, maxPullRequests), freshness: newRevisionFreshness(rnd)}
 }
 
 func (s *documentSyncer) run(ctx context.Context) {
 	go s.pullFromPeers(ctx)
+	go runEvery(ctx, freshnessTick, func() { s.checkIfDue(ctx) })
 	pause := minFollowRetry
 	for ctx.Err() == nil {
 		err := s.follow(ctx, func() { pause = minFollowRetry })
@@ -105,26 +119,20 @@
 // follow reads the document, calls onSuccess, and watches the document until the
 // watch ends or is abandoned.
 func (s *documentSyncer) follow(ctx context.Context, onSuccess func()) error {
-	key := s.d.platform.Document.Key
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	entries, revision, err := s.d.store.List(callCtx, key, "", 1)
-	cancel()
+	revision, err := s.readDocument(ctx, s.applyWatched)
 	if err != nil {
 		return err
 	}
 	onSuccess()
 	s.failingSince.Store(0)
 	s.d.recordStoreCall("follow configuration", nil)
-	for _, e := range entries {
-		s.applyEntry(e)
-	}
 	watchCtx, cancelWatch := context.WithCancel(ctx)
 	defer cancelWatch()
 	s.cancelWatch.Store(&cancelWatch)
 	defer s.cancelWatch.Store(nil)
-	err = s.d.store.Watch(watchCtx, key, revision, func(ev store.Event) {
+	err = s.d.store.Watch(watchCtx, s.d.platform.Document.Key, revision, func(ev store.Event) {
 		if !ev.Removed {
-			s.applyEntry(ev.Entry)
+			s.applyWatched(ev.Entry)
 		}
 	})
 	if watchCtx.Err() != nil && ctx.Err() == nil {
@@ -133,17 +141,74 @@
 	return err
 }
 
-// applyEntry installs the configuration of a document if it is newer. An invalid
-// document is logged and changes nothing.
-func (s *documentSyncer) applyEntry(e store.Entry) {
-	if e.Key != s.d.platform.Document.Key {
+// readDocument reads the document as it is in the store, without the staleness that
+// listings allow, passes it to apply and returns the revision of the store.
+func (s *documentSyncer) readDocument(ctx context.Context, apply func(store.Entry)) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	startedAt := s.d.clk.Now()
+	entries, revision, err := s.d.store.List(ctx, s.d.platform.Document.Key, "", 1)
+	if err != nil {
+		return 0, err
+	}
+	for _, e := range entries {
+		apply(e)
+	}
+	s.freshness.confirm(startedAt)
+	return revision, nil
+}
+
+// checkIfDue reads the document if no daemon of this data centre has read it recently.
+// The answer to a watch may be lost without a sign on the connection, and the watch then
+// delivers nothing until it times out. It does nothing while the configuration cannot be
+// followed, because run then reads the document.
+func (s *documentSyncer) checkIfDue(ctx context.Context) {
+	if s.failingSince.Load() > 0 || !s.freshness.beginCheck(s.d.clk.Now(), s.d.roster.isFirst) {
 		return
 	}
+	_, err := s.readDocument(ctx, func(e store.Entry) {
+		if uint64(e.Revision) > s.lastKeyRevision.Load() {
+			s.restartWatchIfBehind(ctx, s.applyEntry(e))
+		}
+	})
+	s.d.recordStoreCall("check configuration", err)
+	if err == nil {
+		s.checks.Add(1)
+		s.d.localBroadcast.requestSend()
+	}
+}
+
+// restartWatchIfBehind starts the watch again unless it delivers a configuration within
+// watchLagLimit. It does not block.
+func (s *documentSyncer) restartWatchIfBehind(ctx context.Context, rev ident.Revision) {
+	time.AfterFunc(watchLagLimit, func() {
+		watched := s.watchedRevision.Load()
+		if ctx.Err() != nil || watched >= uint64(rev) {
+			return
+		}
+		s.d.log.Warn("watch of the configuration has missed a change, starting it again", "revision", uint64(rev), "watched", watched)
+		s.abandonWatch()
+	})
+}
+
+// applyWatched applies an entry that the watch, or the read before it, has delivered.
+func (s *documentSyncer) applyWatched(e store.Entry) {
+	rev := s.applyEntry(e)
+	s.watchedRevision.Store(max(s.watchedRevision.Load(), uint64(rev)))
+}
+
+// applyEntry installs the configuration of a document if it is newer, and returns its
+// revision. An invalid document is logged and changes nothing; its revision is 0.
+func (s *documentSyncer) applyEntry(e store.Entry) ident.Revision {
+	if e.Key != s.d.platform.Document.Key {
+		return 0
+	}
 	doc, err := s.d.platform.Document.Decode(e.Value)
+	s.lastKeyRevision.Store(max(s.lastKeyRevision.Load(), uint64(e.Revision)))
 	if err != nil {
 		s.d.meter.BadConfigs.Inc()
 		s.d.log.Error("configuration refused, the last one stays in force", "key_revision", uint64(e.Revision), "error", err)
-		return
+		return 0
 	}
 	b := table.NewBuilder()
 	for _, r := range doc.Records {
@@ -152,6 +217,7 @@
 	b.SetRevision(doc.Revision)
 	b.SetCallerLimits(doc.Limits)
 	s.install(b, doc.Revision, "store")
+	return doc.Revision
 }
 
 func (s *documentSyncer) install(b *table.Builder, rev ident.Revision, from string) {
@@ -257,12 +323,13 @@
 
 // pull fetches a peer's whole configuration and installs it if it is newer.
 func (s *documentSyncer) pull(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	b, err := readSnapshot(ctx, s.d.peers, address)
+	b, err := readSnapshot(callCtx, s.d.peers, address)
 	if err != nil {
 		s.d.log.Debug("failed to fetch the configuration from a peer", "address", address, "error", err)
 		return
 	}
 	s.install(b, b.Revision(), address)
+	s.restartWatchIfBehind(ctx, b.Revision())
 }
--- a/daemon/load_summary.go
+++ b/daemon/load_summary.go
@@ -8,7 +8,6 @@
 
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
-	"chestnutlatch/member"
 	"chestnutlatch/store"
 	"chestnutlatch/wire"
 )
@@ -45,18 +44,11 @@
 	return &loadSummary{d: d, seenRevisions: map[string]store.Revision{}}
 }
 
-// isWriter reports whether this daemon writes its data centre's summary, which
-// is the duty of the daemon with the lowest instance name. Two concurrent
-// writers do no harm.
-func (s *loadSummary) isWriter() bool {
-	others := s.d.roster.others(func(m *member.Member) bool { return m.DataCentre == s.d.cfg.DataCentre })
-	return len(others) == 0 || s.d.instance < others[0].Instance
-}
-
 // writeIfChanged writes the summary if its content changed. It does nothing
-// without a lease, within loadSummaryInterval or if another daemon is the writer.
+// without a lease, within loadSummaryInterval or if another daemon comes first in the
+// data centre. Two concurrent writers do no harm.
 func (s *loadSummary) writeIfChanged(ctx context.Context, now clock.Millis, lease store.LeaseID) {
-	if lease == 0 || now-s.writtenAt < loadSummaryInterval || !s.isWriter() {
+	if lease == 0 || now-s.writtenAt < loadSummaryInterval || !s.d.roster.isFirst() {
 		return
 	}
 	msg := &wire.Near{Sender: string(s.d.instance)}
--- a/daemon/local_broadcast.go
+++ b/daemon/local_broadcast.go
@@ -134,6 +134,9 @@
 		Sender: string(bc.d.instance), Incarnation: uint64(bc.d.incarnation), Revision: uint64(bc.d.table.Revision()),
 		Loads: bc.d.guard.LoadReports(now), InnerAddress: bc.d.cfg.InnerAddress,
 	}
+	if age, ok := bc.d.documentSyncer.freshness.age(now); ok {
+		msg.RevisionAgeMs = uint64(age) + 1
+	}
 	for _, s := range bc.d.shares.AdmittedCounts() {
 		msg.Spends = append(msg.Spends, &wire.TeamSpend{Team: string(s.Team), Count: s.Count})
 	}
@@ -168,6 +171,7 @@
 		key = appendVarint(key, c.GetRetries())
 	}
 	key = appendVarint(key, msg.GetRevision())
+	key = appendVarint(key, bc.d.documentSyncer.checks.Load())
 	for _, l := range msg.GetLoads() {
 		key = appendVarint(key, uint64(l.GetState()))
 		key = appendVarint(key, uint64(l.GetInFlight()+l.GetQueued()))
@@ -243,7 +247,10 @@
 	for _, l := range msg.GetLoads() {
 		bc.d.entry.ApplyLoadReport(now, ident.Service(l.GetService()), l)
 	}
-	if ident.Revision(msg.GetRevision()) > bc.d.table.Revision() {
+	switch age := msg.GetRevisionAgeMs(); {
+	case ident.Revision(msg.GetRevision()) > bc.d.table.Revision():
 		bc.d.documentSyncer.requestPull(msg.GetInnerAddress(), ident.Revision(msg.GetRevision()))
+	case age > 0:
+		bc.d.documentSyncer.freshness.confirm(now - clock.Millis(age))
 	}
 }
--- a/daemon/roster_fleet.go
+++ b/daemon/roster_fleet.go
@@ -303,6 +303,13 @@
 	return out
 }
 
+// isFirst reports whether this daemon has the lowest instance name in its data centre.
+// Two daemons may report it while their lists differ.
+func (f *rosterFleet) isFirst() bool {
+	others := f.others(func(m *member.Member) bool { return m.DataCentre == f.d.cfg.DataCentre })
+	return len(others) == 0 || f.d.instance < others[0].Instance
+}
+
 // allMembers implements fleet. This daemon's own record comes first.
 func (f *rosterFleet) allMembers() []*member.Member {
 	self := f.selfRecord()
