daemon: the probe beside the log's watch looks for changes that it missed

Callers could see: a withdrawn key in use without an end at a watcher whose watch delivers nothing while the store replies.

Cause: the watch of the change log has no time limit, and the probe beside it read the change that the daemon already had. Its reply counted as proof that no newer one exists.

Change: the probe lists what follows the daemon's revision. Only an empty reply is recorded as fresh; a change that is still missing at the next probe starts the watch again.

--- a/daemon/log_sync.go
+++ b/daemon/log_sync.go
@@ -177,12 +177,12 @@
 		if err != nil {
 			return err
 		}
-		s.noteStoreReply()
 		for _, e := range entries {
 			if err := s.d.table.Apply(e.Value); err != nil {
 				return err
 			}
 		}
+		s.noteStoreReply()
 		if len(entries) < logPageSize {
 			return nil
 		}
@@ -306,7 +306,7 @@
 func (s *logSyncer) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go s.cancelWhenDemoted(ctx, cancel)
+	go s.superviseWatch(ctx, cancel)
 	// Changes written between this store revision and the end of readLog are
 	// delivered twice. The table ignores those that it has.
 	callCtx, cancelCall := context.WithTimeout(ctx, storeTimeout)
@@ -338,11 +338,13 @@
 	return err
 }
 
-// cancelWhenDemoted probes the store every syncTick and calls cancel when this
-// daemon no longer ranks among the watchers.
-func (s *logSyncer) cancelWhenDemoted(ctx context.Context, cancel context.CancelFunc) {
+// superviseWatch probes the store every syncTick. It calls cancel when this daemon no
+// longer ranks among the watchers, or when the watch has not delivered a change within
+// one syncTick.
+func (s *logSyncer) superviseWatch(ctx context.Context, cancel context.CancelFunc) {
 	tick := time.NewTicker(syncTick)
 	defer tick.Stop()
+	var missing ident.Revision
 	for {
 		select {
 		case <-ctx.Done():
@@ -352,20 +354,37 @@
 				cancel()
 				return
 			}
-			s.probeStore(ctx)
+			rev := s.d.table.Revision()
+			switch isNewest, ok := s.probeStore(ctx, rev); {
+			case !ok || isNewest:
+				missing = 0
+			case missing == rev+1:
+				s.d.log.Warn("watch of the configuration log has missed a change, starting it again", "revision", uint64(missing))
+				cancel()
+				return
+			default:
+				missing = rev + 1
+			}
 		}
 	}
 }
 
-// probeStore records whether the store still replies, so that a daemon without
+// probeStore reports whether the log has no change after rev; ok is false if the store
+// did not reply. A reply without newer changes is recorded, so that a daemon without
 // peers is not treated as isolated.
-func (s *logSyncer) probeStore(ctx context.Context) {
+func (s *logSyncer) probeStore(ctx context.Context, rev ident.Revision) (isNewest, ok bool) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err := s.d.store.Get(callCtx, config.LogKey(s.d.table.Revision()))
-	if err == nil || store.IsNotFound(err) {
-		s.noteStoreReply()
+	entries, _, err := s.d.store.List(callCtx, config.LogPrefix, config.LogKey(rev), 1)
+	if err != nil {
+		s.d.log.Debug("failed to probe the store", "error", err)
+		return false, false
 	}
+	if len(entries) > 0 {
+		return false, true
+	}
+	s.noteStoreReply()
+	return true, true
 }
 
 // apply applies one change of the log. A gap in the revisions, which occurs when
