guard, daemon: an acknowledged leaving binds the daemon's next process

Cause: departures were kept in memory. After a restart, a late heartbeat of the target looked like its first one. A deregistration of a target that the process did not know was acknowledged and not recorded at all.

Ruled out: the daemon's own key (its lease ends 6 s after the last renewal, a planned stop removes it); registering a target at its second heartbeat only (1.5 s more at each start, and two late heartbeats undo it).

Change: the guard records departures with the start time and sequence that they cover, also for targets that it does not know.

Open: a daemon killed while the store cannot save the departure, and one restarted while it cannot be read.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -90,6 +90,7 @@
 	// are used on a platform only.
 	platform       *Platform
 	roster         *rosterFleet
+	departures     *departureLog
 	documentSyncer *documentSyncer
 	localBroadcast *localBroadcast
 	loadSummary    *loadSummary
@@ -189,6 +190,7 @@
 func (d *Daemon) initPlatform(rnd *mrand.Rand) {
 	d.roster = newRosterFleet(d, rnd)
 	d.fleet = d.roster
+	d.departures = newDepartureLog(d)
 	d.documentSyncer = newDocumentSyncer(d, mrand.New(mrand.NewPCG(rnd.Uint64(), rnd.Uint64())))
 	d.localBroadcast = newLocalBroadcast(d)
 	d.loadSummary = newLoadSummary(d)
@@ -355,6 +357,7 @@
 		go run("readiness server", func() error { return d.ready.Serve(l.ready) })
 		go run("announcement server", func() error { return d.announce.Serve(l.announce) })
 		d.localBroadcast.start(ctx, l.members)
+		go d.departures.run(ctx)
 		go d.roster.run(ctx)
 		go d.documentSyncer.run(ctx)
 		go d.refuseWaiting(ctx)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -45,14 +46,15 @@
 }
 
 // serveAnnouncements serves the heartbeats (PUT) and deregistrations (DELETE) of
-// the targets on this instance.
+// the targets on this instance. It responds to a target that leaves when the departure
+// is saved, or cannot be saved in time: the response binds the next process too.
 func (d *Daemon) serveAnnouncements(c *fasthttp.RequestCtx) {
 	id, ok := strings.CutPrefix(string(c.Path()), d.platform.HeartbeatPath)
 	if !ok {
 		c.Error("unknown path", fasthttp.StatusNotFound)
 		return
 	}
-	changed := false
+	changed, leaving := false, false
 	switch string(c.Method()) {
 	case fasthttp.MethodPut:
 		heartbeat, err := d.platform.DecodeHeartbeat(id, c.PostBody())
@@ -62,8 +64,12 @@
 			c.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
+		if leaving = heartbeat.Draining; !leaving {
+			d.departures.awaitLoaded()
+		}
 		changed = d.guard.ApplyHeartbeat(heartbeat)
 	case fasthttp.MethodDelete:
+		leaving = true
 		changed = d.guard.Deregister(ident.Target(id))
 	default:
 		c.Error("use PUT or DELETE", fasthttp.StatusMethodNotAllowed)
@@ -72,6 +78,9 @@
 	if changed {
 		d.fleet.setTargets(d.guard.Targets())
 	}
+	if changed && leaving {
+		d.departures.save(context.Background())
+	}
 	c.SetContentType("application/json")
 	c.SetBodyString("{}")
 }
--- a/daemon/roster_fleet.go
+++ b/daemon/roster_fleet.go
@@ -119,12 +119,19 @@
 	if err != nil {
 		return false
 	}
+	if fresh {
+		f.d.departures.applyListing(entries)
+	}
 	found := make([]roster.ListedMember, 0, len(entries))
 	now := f.d.clk.Now()
 	for _, e := range entries {
-		if strings.HasPrefix(e.Key, LoadSummaryPrefix) {
+		switch {
+		case strings.HasPrefix(e.Key, LoadSummaryPrefix):
 			f.d.loadSummary.apply(now, e)
 			continue
+		case strings.HasPrefix(e.Key, DeparturesPrefix):
+			// Each daemon uses its own departures only.
+			continue
 		}
 		m, err := member.DecodeMember(e.Value)
 		if err != nil || m.Instance == "" || RosterPrefix+string(m.Instance) != e.Key {
--- a/guard/heartbeat.go
+++ b/guard/heartbeat.go
@@ -1,6 +1,11 @@
 package guard
 
 import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/ident"
 )
@@ -17,17 +22,45 @@
 	Draining bool
 }
 
-// tombstoneTTL is how long the guard keeps the record of a deregistered target, in
-// milliseconds. A heartbeat that a network partition delayed must not register
-// the target again.
-const tombstoneTTL = 2 * clock.Minute
+const (
+	// tombstoneTTL is how long the guard keeps the record of a departed target, in
+	// milliseconds. A heartbeat that a network partition delayed must not register
+	// the target again.
+	tombstoneTTL = 2 * clock.Minute
+	// maxTombstones bounds the records, because any ID can be deregistered.
+	maxTombstones = 256
+	// allSequences is the sequence of a target that sends no more heartbeats.
+	allSequences = math.MaxUint64
+)
+
+// Departure records that a target drains or was deregistered. It covers the heartbeats
+// that the target sent before, which may arrive late.
+type Departure struct {
+	Target ident.Target
+	// StartedAt is the start time of the target's incarnation, in milliseconds since
+	// the Unix epoch; 0 if the target does not report it.
+	StartedAt clock.Millis
+	// StartUnknown is true if the target was deregistered before this daemon had a
+	// heartbeat of it. StartedAt is then the time of the deregistration.
+	StartUnknown bool
+	// Sequence is that of the last heartbeat that is covered, or the maximum if the
+	// target was deregistered.
+	Sequence uint64
+}
 
-// tombstone records a target that was deregistered. Heartbeats of a target that does
-// not report its start time are ignored for Config.AnnounceTTL only, since a new
-// incarnation cannot be told from a late heartbeat.
+// covers reports whether a heartbeat with the given values was sent before the
+// departure.
+func (d Departure) covers(startedAt clock.Millis, sequence uint64) bool {
+	return startedAt < d.StartedAt || startedAt == d.StartedAt && sequence <= d.Sequence
+}
+
+// tombstone is a departure with the time at which it was recorded, in milliseconds.
+// Heartbeats of a target that does not report its start time are ignored for
+// Config.AnnounceTTL only, since a new incarnation cannot be told from a late
+// heartbeat.
 type tombstone struct {
-	startedAt clock.Millis
-	removedAt clock.Millis
+	Departure
+	recordedAt clock.Millis
 }
 
 // ApplyHeartbeat applies a heartbeat and reports whether the set of targets or a
@@ -64,6 +97,9 @@
 	}
 	t.mu.Unlock()
 	t.setDraining(drain)
+	if hb.Draining {
+		g.recordDeparture(now, Departure{Target: hb.Spec.ID, StartedAt: hb.StartedAt, Sequence: hb.Sequence})
+	}
 	if changed {
 		g.log.Info("target heard", "target", hb.Spec.ID, "service", hb.Spec.Service, "draining", drain, "born", int64(hb.StartedAt))
 	}
@@ -74,8 +110,9 @@
 // than the last one applied, or is from a target that started before the one now
 // registered at its address. The caller holds mu.
 func (g *Guard) isStale(now clock.Millis, hb Heartbeat) bool {
-	if removed, ok := g.tombstones[hb.Spec.ID]; ok && hb.StartedAt <= removed.startedAt {
-		return hb.StartedAt > 0 || removed.startedAt > 0 || now-removed.removedAt <= g.cfg.AnnounceTTL
+	if stone, ok := g.tombstones[hb.Spec.ID]; ok && stone.covers(hb.StartedAt, hb.Sequence) {
+		startReported := hb.StartedAt > 0 || stone.StartedAt > 0 && !stone.StartUnknown
+		return startReported || now-stone.recordedAt <= g.cfg.AnnounceTTL
 	}
 	for _, t := range g.targets {
 		t.mu.Lock()
@@ -102,32 +139,94 @@
 	}
 }
 
-// Deregister drains a target that will send no more heartbeats. It reports whether
-// the target was registered. If so, heartbeats of the same or an earlier incarnation
-// of the target are ignored for at least tombstoneTTL.
+// Deregister drains a target that will send no more heartbeats, and reports whether
+// that was new. Heartbeats that the target sent before are ignored for at least
+// tombstoneTTL, also if the guard does not know the target: it may have been registered
+// at an earlier process of this daemon.
 func (g *Guard) Deregister(id ident.Target) bool {
 	now := g.clk.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := g.targets[id]
-	for removed, stone := range g.tombstones {
-		if now-stone.removedAt > tombstoneTTL {
-			delete(g.tombstones, removed)
+	departure := Departure{Target: id, Sequence: allSequences}
+	if t := g.targets[id]; t != nil {
+		t.mu.Lock()
+		departure.StartedAt = t.startedAt
+		t.setLeaving(now, true)
+		t.mu.Unlock()
+		t.setDraining(true)
+	} else {
+		if stone, ok := g.tombstones[id]; ok && stone.Sequence == allSequences {
+			return false
 		}
+		departure.StartedAt, departure.StartUnknown = g.clk.Wall(), true
 	}
-	if t == nil {
-		return false
-	}
-	t.mu.Lock()
-	startedAt := t.startedAt
-	t.setLeaving(now, true)
-	t.mu.Unlock()
-	g.tombstones[id] = tombstone{startedAt: startedAt, removedAt: now}
-	t.setDraining(true)
-	g.log.Info("target leaves", "target", id)
+	g.recordDeparture(now, departure)
+	g.log.Info("target leaves", "target", id, "known", !departure.StartUnknown)
 	return true
 }
 
+// recordDeparture replaces the record of a target's departure, and drops the records
+// that are too old or too many. The caller holds mu.
+func (g *Guard) recordDeparture(now clock.Millis, d Departure) {
+	g.tombstones[d.Target] = tombstone{d, now}
+	for len(g.tombstones) > 0 {
+		oldest := slices.MinFunc(slices.Collect(maps.Values(g.tombstones)), compareAge)
+		if len(g.tombstones) <= maxTombstones && now-oldest.recordedAt <= tombstoneTTL {
+			return
+		}
+		delete(g.tombstones, oldest.Target)
+	}
+}
+
+func compareAge(a, b tombstone) int { return cmp.Compare(a.recordedAt, b.recordedAt) }
+
+// Departures returns the departures of the last tombstoneTTL, the newest first and at
+// most n of them.
+func (g *Guard) Departures(n int) []Departure {
+	now := g.clk.Now()
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	stones := slices.SortedFunc(maps.Values(g.tombstones), func(a, b tombstone) int { return compareAge(b, a) })
+	var out []Departure
+	for _, stone := range stones[:min(n, len(stones))] {
+		if now-stone.recordedAt <= tombstoneTTL {
+			out = append(out, stone.Departure)
+		}
+	}
+	return out
+}
+
+// ApplyDepartures records departures that an earlier process of this daemon has
+// acknowledged. It drains the targets that were registered by heartbeats from before
+// them, and reports whether there are any.
+func (g *Guard) ApplyDepartures(list []Departure) bool {
+	now := g.clk.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed := false
+	for _, d := range list {
+		if stone, ok := g.tombstones[d.Target]; !ok || d.covers(stone.StartedAt, stone.Sequence) {
+			g.recordDeparture(now, d)
+		}
+		t := g.targets[d.Target]
+		if t == nil {
+			continue
+		}
+		t.mu.Lock()
+		left := t.lastAnnounced > 0 && !t.draining && d.covers(t.startedAt, t.sequence)
+		if left {
+			t.setLeaving(now, true)
+		}
+		t.mu.Unlock()
+		if left {
+			t.setDraining(true)
+			g.log.Info("target had left before this process started", "target", d.Target, "born", int64(d.StartedAt))
+			changed = true
+		}
+	}
+	return changed
+}
+
 // TargetDrainingSince returns when the last of the local targets started to drain, by
 // their heartbeats, in milliseconds. It returns 0 while any of them does not drain. The
 // instance and the callers on it stop together with the targets.
--- a/guard/heartbeat_test.go
+++ b/guard/heartbeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -196,3 +197,97 @@
 		t.Errorf("the running request got %q", body)
 	}
 }
+
+// TestUnknownTargetIsDeregistered guards against a late heartbeat that registers a
+// target whose deregistration was acknowledged by a daemon that did not know it. A later
+// incarnation is accepted.
+func TestUnknownTargetIsDeregistered(t *testing.T) {
+	clk := clock.NewManual(clock.Hour)
+	g := newAttemptGuard(t, clk, TargetSpec{})
+	startedAt := clk.Wall() - clock.Minute
+	if !g.Deregister("t") {
+		t.Error("the deregistration was not recorded")
+	}
+	if g.Deregister("t") {
+		t.Error("a repeated deregistration counts as new")
+	}
+	clk.Advance(5 * clock.Second)
+	if g.ApplyHeartbeat(Heartbeat{Spec: testSpec("t", "127.0.0.1:1"), StartedAt: startedAt, Sequence: 9}) || takesWork(g, "t") {
+		t.Error("a late heartbeat registered the target")
+	}
+	if !g.ApplyHeartbeat(Heartbeat{Spec: testSpec("t", "127.0.0.1:1"), StartedAt: clk.Wall(), Sequence: 1}) || !takesWork(g, "t") {
+		t.Error("the next incarnation is refused")
+	}
+	g.Deregister("mute")
+	clk.Advance(g.cfg.AnnounceTTL)
+	if g.ApplyHeartbeat(Heartbeat{Spec: testSpec("mute", "127.0.0.1:2"), Sequence: 9}) {
+		t.Error("a late heartbeat without a start time registered the target")
+	}
+	clk.Advance(1)
+	if !g.ApplyHeartbeat(Heartbeat{Spec: testSpec("mute", "127.0.0.1:2"), Sequence: 1}) {
+		t.Error("a target without a start time is refused for longer than its registration lasts")
+	}
+}
+
+// TestDeparturesOfEarlierProcess covers departures that an earlier process acknowledged:
+// they must hold whether a late heartbeat arrives before they are known or after.
+func TestDeparturesOfEarlierProcess(t *testing.T) {
+	spec := testSpec("t", "127.0.0.1:1")
+	tests := []struct {
+		name     string
+		leave    func(g *Guard)
+		late     Heartbeat
+		accepted bool
+	}{
+		{"deregistered", func(g *Guard) { g.Deregister("t") }, Heartbeat{Spec: spec, StartedAt: 5, Sequence: 99}, false},
+		{"draining", func(g *Guard) { g.ApplyHeartbeat(Heartbeat{Spec: spec, StartedAt: 5, Sequence: 11, Draining: true}) }, Heartbeat{Spec: spec, StartedAt: 5, Sequence: 10}, false},
+		{"earlier incarnation", func(g *Guard) { g.Deregister("t") }, Heartbeat{Spec: spec, StartedAt: 4, Sequence: 99}, false},
+		{"next incarnation", func(g *Guard) { g.Deregister("t") }, Heartbeat{Spec: spec, StartedAt: 6, Sequence: 1}, true},
+		{"heartbeat after a drain that was given up", func(g *Guard) { g.ApplyHeartbeat(Heartbeat{Spec: spec, StartedAt: 5, Sequence: 11, Draining: true}) }, Heartbeat{Spec: spec, StartedAt: 5, Sequence: 12}, true},
+	}
+	for _, tt := range tests {
+		for _, lateFirst := range []bool{false, true} {
+			clk := clock.NewManual(1000)
+			earlier, g := newAttemptGuard(t, clk, TargetSpec{}), newAttemptGuard(t, clk, TargetSpec{})
+			earlier.ApplyHeartbeat(Heartbeat{Spec: spec, StartedAt: 5, Sequence: 10})
+			tt.leave(earlier)
+			departures := earlier.Departures(10)
+			if len(departures) != 1 {
+				t.Fatalf("%s: departures are %+v, want one", tt.name, departures)
+			}
+			if lateFirst {
+				g.ApplyHeartbeat(tt.late)
+				g.ApplyDepartures(departures)
+			} else {
+				g.ApplyDepartures(departures)
+				g.ApplyHeartbeat(tt.late)
+			}
+			if got := takesWork(g, "t"); got != tt.accepted {
+				t.Errorf("%s, late heartbeat first %v: target takes work %v, want %v", tt.name, lateFirst, got, tt.accepted)
+			}
+			if got := g.Departures(10); len(got) != 1 {
+				t.Errorf("%s: departures for the next process are %+v, want one", tt.name, got)
+			}
+		}
+	}
+}
+
+// TestDepartureRecordsAreBounded covers a writer that deregisters ever new IDs.
+func TestDepartureRecordsAreBounded(t *testing.T) {
+	clk := clock.NewManual(1000)
+	g := newAttemptGuard(t, clk, TargetSpec{})
+	for i := range 2 * maxTombstones {
+		clk.Advance(1)
+		g.Deregister(ident.Target(fmt.Sprint("t", i)))
+	}
+	if n := len(g.tombstones); n != maxTombstones {
+		t.Errorf("%d records, want %d", n, maxTombstones)
+	}
+	if got := g.Departures(3); len(got) != 3 || got[0].Target != ident.Target(fmt.Sprint("t", 2*maxTombstones-1)) {
+		t.Errorf("newest departures are %+v", got)
+	}
+	clk.Advance(tombstoneTTL + 1)
+	if got := g.Departures(3); len(got) != 0 {
+		t.Errorf("old departures are kept: %+v", got)
+	}
+}
