platform, guard, member: odd entries of other writers stop no reader

Reported by operators of similar systems; shown here by tests, not seen in use. Callers would see refused requests, and daemons that no longer follow the fleet or the configuration.

(3) A target id that is not UTF-8 cannot be encoded for other daemons. (4) Records of daemons with an address out of range were used.

Ruled out: that an entry ends a daemon (none did), deep nesting (the decoders end at 10,000 levels with an error).

TargetSpec.Check bounds what targets report, also in the product's own interface; one limit of slots for settings, heartbeats and records. Records need addresses with a port from 1 to 65535. What cannot be decoded is logged once, not at each listing.

--- a/admin/serve/serve.go
+++ b/admin/serve/serve.go
@@ -89,7 +89,7 @@
 // platform adapter and its store; otherwise it dials the store.
 func newDaemon(cfg *setup.Settings, clk clock.Clock, log hclog.Logger) (*daemon.Daemon, error) {
 	if cfg.Adapter != "" {
-		return daemon.NewWithPlatform(platform.Adapter(), cfg, clk, log, platform.NewStore(cfg.StoreAddress))
+		return daemon.NewWithPlatform(platform.Adapter(), cfg, clk, log, platform.NewStore(cfg.StoreAddress, log.Named("store")))
 	}
 	st, err := store.Dial(cfg.StoreAddress)
 	if err != nil {
--- a/daemon/load_summary.go
+++ b/daemon/load_summary.go
@@ -90,12 +90,12 @@
 	if dc == string(s.d.cfg.DataCentre) || s.seenRevisions[dc] >= e.Revision {
 		return
 	}
+	s.seenRevisions[dc] = e.Revision
 	var msg wire.Near
 	if err := proto.Unmarshal(e.Value, &msg); err != nil {
 		s.d.log.Warn("load summary cannot be decoded: ignoring it", "key", e.Key, "error", err)
 		return
 	}
-	s.seenRevisions[dc] = e.Revision
 	for _, l := range msg.GetLoads() {
 		s.d.entry.ApplyLoadReport(now-assumedSummaryAge-clock.Millis(l.GetAgeMs()), ident.Service(l.GetService()), l)
 	}
--- a/daemon/operator_server.go
+++ b/daemon/operator_server.go
@@ -97,11 +97,12 @@
 	}
 	switch string(c.Method()) {
 	case fasthttp.MethodPut:
-		if body.Service == "" || body.Address == "" || body.Slots < 1 {
-			c.Error("service, address and slots of at least 1 are needed", fasthttp.StatusBadRequest)
+		spec := guard.TargetSpec{ID: body.Target, Service: body.Service, Address: body.Address, Slots: body.Slots}
+		if err := spec.Check(); err != nil {
+			c.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
-		if d.guard.Announce(guard.TargetSpec{ID: body.Target, Service: body.Service, Address: body.Address, Slots: body.Slots}) {
+		if d.guard.Announce(spec) {
 			d.log.Info("target announced itself", "target", body.Target, "service", body.Service)
 			d.fleet.setTargets(d.guard.Targets())
 		}
--- a/daemon/roster_fleet.go
+++ b/daemon/roster_fleet.go
@@ -55,6 +55,9 @@
 	// keyOutdated is set while this daemon's key must be written.
 	keyOutdated bool
 	rnd         *rand.Rand
+	// oddKeys holds the revisions of the keys in the last listing that could not be
+	// decoded. Only run uses it.
+	oddKeys map[string]store.Revision
 
 	// keyMu protects key and keyRemoved. It is held during the store calls that
 	// change this daemon's key.
@@ -123,6 +126,7 @@
 		f.d.departures.applyListing(entries)
 	}
 	found := make([]roster.ListedMember, 0, len(entries))
+	odd := map[string]store.Revision{}
 	now := f.d.clk.Now()
 	for _, e := range entries {
 		switch {
@@ -135,11 +139,15 @@
 		}
 		m, err := member.DecodeMember(e.Value)
 		if err != nil || m.Instance == "" || RosterPrefix+string(m.Instance) != e.Key {
-			f.d.log.Warn("key of a daemon cannot be decoded: ignoring the daemon", "key", e.Key, "error", err)
+			odd[e.Key] = e.Revision
+			if f.oddKeys[e.Key] != e.Revision {
+				f.d.log.Warn("key of a daemon cannot be decoded: ignoring the daemon", "key", e.Key, "key_revision", uint64(e.Revision), "error", err)
+			}
 			continue
 		}
 		found = append(found, roster.ListedMember{Member: *m, Revision: e.Revision})
 	}
+	f.oddKeys = odd
 	f.mu.Lock()
 	change := f.list.ApplyListing(now, found, revision)
 	f.mu.Unlock()
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -111,6 +111,10 @@
 // age is not known. The picker ignores a report that is older than its latest one
 // for the target.
 func (e *Entry) ApplyLoadReport(at clock.Millis, s ident.Service, l *wire.LoadReport) {
+	if !ident.TargetState(l.GetState()).IsATargetState() {
+		e.Log.Debug("load report with an unknown state ignored", "target", l.GetTarget(), "state", l.GetState())
+		return
+	}
 	e.Picker.UpdateLoad(at, s, ident.Target(l.GetTarget()), choose.Load{
 		State:    ident.TargetState(l.GetState()),
 		InFlight: int(l.GetInFlight()),
--- a/guard/target.go
+++ b/guard/target.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 
+	"github.com/go-faster/errors"
+
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/health"
@@ -23,6 +25,36 @@
 	Slots int
 }
 
+// maxNameBytes is the maximum length of a target's ID and of its service's name.
+const maxNameBytes = 128
+
+// Check returns an error for a spec that a target or operator has sent and that cannot
+// be used here or published to other daemons. The error says what to change.
+func (s TargetSpec) Check() error {
+	switch {
+	case !isName(string(s.ID)):
+		return errors.Errorf("target id must have 1 to %d visible ASCII characters and no slash", maxNameBytes)
+	case !isName(string(s.Service)):
+		return errors.Errorf("service must have 1 to %d visible ASCII characters and no slash", maxNameBytes)
+	case !ident.IsAddress(s.Address):
+		return errors.New("address must be an IP address and a port, such as 127.0.0.1:8080")
+	case s.Slots < 1 || s.Slots > ident.MaxSlots:
+		return errors.Errorf("slots must be from 1 to %d", ident.MaxSlots)
+	}
+	return nil
+}
+
+// isName reports whether a name can be part of a header, a store key and a message to
+// other daemons.
+func isName(name string) bool {
+	for _, c := range []byte(name) {
+		if c <= ' ' || c > '~' || c == '/' {
+			return false
+		}
+	}
+	return name != "" && len(name) <= maxNameBytes
+}
+
 // target is one local target with its queue, health and connections. It is safe
 // for concurrent use.
 type target struct {
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -1,5 +1,5 @@
 // Package ident defines the types for identifiers and units and the small
-// enumerations that several packages share. It has no logic of its own.
+// enumerations that several packages share, with the limits of their values.
 package ident
 
 //go:generate enumer -type=Outcome,Priority,TargetState -transform=snake -json -text -trimprefix=Outcome,Priority,Target -output=ident_enumer.go
--- a/member/codec.go
+++ b/member/codec.go
@@ -38,8 +38,8 @@
 // record about itself with a higher version, which must not wrap.
 const maxVersion = 1 << 62
 
-// maxSlots is the highest number of slots of a target that is accepted.
-const maxSlots = 1 << 20
+// maxTargets is the highest number of targets of one member that is accepted.
+const maxTargets = 4096
 
 // check returns an error if a record from outside has a field that is out of range.
 func (m *Member) check() error {
@@ -49,8 +49,11 @@
 	if m.Version > maxVersion {
 		return errors.Errorf("member %q has the version %d, over %d", m.Instance, m.Version, uint64(maxVersion))
 	}
+	if len(m.Targets) > maxTargets {
+		return errors.Errorf("member %q has %d targets, over %d", m.Instance, len(m.Targets), maxTargets)
+	}
 	for _, t := range m.Targets {
-		if !t.State.IsATargetState() || t.Slots < 0 || t.Slots > maxSlots {
+		if !t.State.IsATargetState() || t.Slots < 0 || t.Slots > ident.MaxSlots {
 			return errors.Errorf("target %q of member %q has state %d and %d slots", t.ID, m.Instance, int(t.State), t.Slots)
 		}
 	}
@@ -166,12 +169,15 @@
 }
 
 // DecodeMember unmarshals a record that EncodeMember wrote. It returns an error if a
-// field is out of range.
+// field is out of range or an address is not ip:port.
 func DecodeMember(b []byte) (*Member, error) {
 	var w wire.Member
 	if err := proto.Unmarshal(b, &w); err != nil {
 		return nil, errors.Wrap(err, "decode member")
 	}
 	m := memberFromWire(&w)
+	if !ident.IsAddress(m.InnerAddress) || !ident.IsAddress(m.MemberAddress) {
+		return nil, errors.Errorf("member %q has the inner address %q and the member address %q: each must be ip:port", m.Instance, m.InnerAddress, m.MemberAddress)
+	}
 	return m, m.check()
 }
--- a/rigs/kv_test.go
+++ b/rigs/kv_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
 	"chestnutlatch/platform"
@@ -67,7 +68,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	client := platform.NewStore(l.Addr().String())
+	client := platform.NewStore(l.Addr().String(), hclog.NewNullLogger())
 	key := platform.Adapter().Document.Key
 	put("/document", validDocument)
 	e, err := client.Get(ctx, key)
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"net"
 	"sort"
 	"strconv"
 	"strings"
@@ -298,7 +297,7 @@
 		t := Target{ID: ident.Target(strings.TrimPrefix(section, targetPrefix))}
 		t.Service = ident.Service(r.name(section, "service"))
 		t.Address = r.address(section, "address")
-		t.Slots = r.integer(section, "slots", 1, 1, 100_000)
+		t.Slots = r.integer(section, "slots", 1, 1, ident.MaxSlots)
 		s.Targets = append(s.Targets, t)
 	}
 }
@@ -343,9 +342,7 @@
 }
 
 func (r *settingsReader) checkAddress(section, key, v string) {
-	host, port, err := net.SplitHostPort(v)
-	n, portErr := strconv.Atoi(port)
-	if err != nil || portErr != nil || net.ParseIP(host) == nil || n < 1 || n > 65_535 {
+	if !ident.IsAddress(v) {
 		r.addProblem(section, key, v, "set an IP address and a port, such as 127.0.0.1:8080")
 	}
 }
