guard: nothing without an ID is believed after a stray answer

Reported by operators of similar systems (a refusal written once more); shown here by a test. Callers would see "not run" for a request that its target runs, and a second run.

Cause: an error answer without an attempt ID is accepted on a new connection, also after an answer to another request was skipped there.

Ruled out: copies on a kept connection, with or without an ID (skipped before too); the same attempt at the same target after its refusal (the entry skips the target, the guard has the record of a one-time attempt).

Change: after a stray answer, answers without an ID are skipped and the connection is closed after the exchange.

TestLateCopyOfARefusal failed before for one form on a new connection, one-time and idempotent ("the second request ran and was refused with shed (not_run)"); passes now.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -80,6 +80,9 @@
 	echoesExchange bool
 	// receivedByte is true if the current exchange has read a byte.
 	receivedByte atomic.Bool
+	// strayAnswer is true after an answer that did not belong to the request. Another
+	// one may follow, so the connection is not used again.
+	strayAnswer bool
 	// readLimit is the number of bytes that the current exchange may still read.
 	readLimit int
 	// idleLimit is how long the connection may be idle and still be reused, in
@@ -339,10 +342,10 @@
 func (c *targetConn) roundTripLong(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (bool, error) {
 	written := make(chan error, 1)
 	go func() { written <- c.write(req) }()
-	framed, err := c.readAnswer(d, req, resp, maxBody)
+	reusable, err := c.readAnswer(d, req, resp, maxBody)
 	select {
 	case writeErr := <-written:
-		return framed && writeErr == nil, err
+		return reusable && writeErr == nil, err
 	default:
 	}
 	_ = c.Close()
@@ -370,17 +373,17 @@
 const maxAnswersRead = 4
 
 // readAnswer reads the whole answer to a request and skips answers to other
-// requests. framed is false if the answer ended with its connection, which then
-// cannot be reused.
-func (c *targetConn) readAnswer(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (framed bool, err error) {
+// requests. reusable is false if the connection cannot be used again.
+func (c *targetConn) readAnswer(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (reusable bool, err error) {
 	for range maxAnswersRead {
-		framed, err = c.readResponse(d, req, resp, maxBody)
+		framed, err := c.readResponse(d, req, resp, maxBody)
 		if err != nil || c.isAnswerTo(d, req, resp) {
-			return framed, err
+			return framed && !c.strayAnswer, err
 		}
 		if !framed {
 			return false, errIncomplete
 		}
+		c.strayAnswer = true
 		resp.Reset()
 	}
 	return false, errIncomplete
@@ -388,15 +391,15 @@
 
 // isAnswerTo reports whether an answer belongs to the request. An error answer
 // without an attempt ID is accepted on a new connection only, because a target may
-// leave out the ID if it did not run the request. On a reused connection, it may be a
-// late copy of the answer to an earlier request.
+// leave out the ID if it did not run the request. On a reused connection, or after a
+// stray answer, it may be a late copy of the answer to an earlier request.
 func (c *targetConn) isAnswerTo(d Dialect, req *fasthttp.Request, resp *fasthttp.Response) bool {
 	if d.AttemptID == "" {
 		return c.isAnswerToExchange(d, req, resp)
 	}
 	id := resp.Header.Peek(d.AttemptID)
 	if len(id) == 0 {
-		return !c.reused && resp.StatusCode() >= fasthttp.StatusBadRequest
+		return !c.reused && !c.strayAnswer && resp.StatusCode() >= fasthttp.StatusBadRequest
 	}
 	return bytes.Equal(id, req.Header.Peek(d.AttemptID))
 }
@@ -415,8 +418,8 @@
 	return bytes.Equal(id, req.Header.Peek(d.Exchange))
 }
 
-// readResponse reads one answer and skips interim answers. framed is as in
-// readAnswer.
+// readResponse reads one answer and skips interim answers. framed is false if the
+// answer ended with its connection.
 func (c *targetConn) readResponse(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (framed bool, err error) {
 	for interim := 0; ; interim++ {
 		if err := resp.Header.Read(c.r); err != nil {
--- a/guard/endless_test.go
+++ b/guard/endless_test.go
@@ -247,3 +247,131 @@
 		}
 	})
 }
+
+// TestLateCopyOfARefusal guards against a refusal that a target writes once more on a
+// connection in use again, before the answer to the request that it runs. The request
+// must get its own answer, or a refusal that does not claim that it has not run.
+func TestLateCopyOfARefusal(t *testing.T) {
+	const notRun = "HTTP/1.1 503 S\r\nX-Not-Run: 1\r\n"
+	copies := map[string]string{
+		"with the ID of its request":     notRun + "X-Id: a1\r\nContent-Length: 0\r\n\r\n",
+		"without ID":                     notRun + "Content-Length: 0\r\n\r\n",
+		"with a body":                    notRun + "Content-Length: 4\r\n\r\nbusy",
+		"in chunks":                      notRun + "Transfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n",
+		"after an interim answer":        "HTTP/1.1 100 Continue\r\n\r\n" + notRun + "Content-Length: 0\r\n\r\n",
+		"twice":                          strings.Repeat(notRun+"Content-Length: 0\r\n\r\n", 2),
+		"of another target there":        "HTTP/1.1 421 M\r\nContent-Length: 0\r\n\r\n",
+		"as too many requests":           "HTTP/1.1 429 T\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"without length":                 notRun + "\r\n",
+		"after a copy that has an ID":    notRun + "X-Id: a1\r\nContent-Length: 0\r\n\r\n" + notRun + "Content-Length: 0\r\n\r\n",
+		"with a length that is too long": notRun + "Content-Length: 20\r\n\r\n",
+	}
+	for name, late := range copies {
+		for _, oneTime := range []bool{false, true} {
+			orders := []string{"behind the first answer", "before the next answer"}
+			if strings.Contains(late, "X-Id") {
+				// The first answer on a new connection may lack the ID.
+				orders = append(orders, "on a new connection")
+			}
+			for _, order := range orders {
+				t.Run(fmt.Sprintf("%s, %s, one-time %v", name, order, oneTime), func(t *testing.T) {
+					f := startFakeTarget(t, func(n, _ int64, c net.Conn) bool {
+						refusal := notRun + "X-Id: a1\r\nContent-Length: 0\r\n\r\n"
+						switch {
+						case n == 1 && order == "behind the first answer":
+							writeString(c, refusal+late)
+						case n == 1:
+							writeString(c, refusal)
+							return order != "on a new connection"
+						case order == "behind the first answer":
+							writeString(c, okResponseWithID("a2", "two"))
+						default:
+							writeString(c, late+okResponseWithID("a2", "two"))
+						}
+						return true
+					})
+					g := newAttemptGuard(t, clock.NewSystem(), TargetSpec{ID: "t", Service: "svc", Address: f.Addr().String(), Slots: 1})
+					if r := RefusalFromWire(g.Forward(context.Background(), attemptRequest("a1", oneTime)).GetRefusal()); r.Outcome != ident.OutcomeNotRun || r.Kind != fault.Shed {
+						t.Fatalf("the first request got %v, want shed", r)
+					}
+					if order == "on a new connection" {
+						g.findTarget("t").conns.closeAll()
+					}
+					req := attemptRequest("a2", oneTime)
+					// The target is suspect after its refusal.
+					req.LastResort = true
+					reply := g.Forward(context.Background(), req)
+					if n := f.requests.Load(); n != 2 {
+						t.Fatalf("the target got %d requests, want 2", n)
+					}
+					if reply.GetAnswer() != nil && string(reply.GetAnswer().GetBody()) != "two" {
+						t.Errorf("the second request got %d %q", reply.GetAnswer().GetStatus(), reply.GetAnswer().GetBody())
+					}
+					if r := RefusalFromWire(reply.GetRefusal()); reply.GetAnswer() == nil && r.Outcome != ident.OutcomeUnknown {
+						t.Errorf("the second request ran and was refused with %v", r)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestCutAnswerIsNotComplete guards against an answer that breaks off anywhere, also in
+// the middle of its head or trailer, and is passed on as a whole one. A body without a
+// length ends with its connection, so only its head can be cut off visibly.
+func TestCutAnswerIsNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: a1\r\nX-Exchange-Id: a1\r\n"
+	answers := map[string]string{
+		"length":         head + "Content-Length: 12\r\nX-Sig: s\r\n\r\nhello, world",
+		"empty body":     head + "X-Sig: s\r\nContent-Length: 0\r\n\r\n",
+		"chunks":         head + "Transfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n7\r\n, world\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"no length":      head + "X-Sig: s\r\n\r\n",
+		"no body":        "HTTP/1.1 204 No Content\r\nX-Id: a1\r\nX-Sig: s\r\n\r\n",
+		"not modified":   "HTTP/1.1 304 N\r\nX-Id: a1\r\nContent-Length: 5\r\n\r\n",
+		"folded header":  head + "X-Long: a\r\n b\r\nContent-Length: 2\r\n\r\nok",
+		"bare newlines":  strings.ReplaceAll(head, "\r\n", "\n") + "Content-Length: 2\r\n\r\nok",
+		"interim answer": "HTTP/1.1 103 Early\r\nX-Id: a1\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"stray answer":   "HTTP/1.1 200 OK\r\nX-Id: a0\r\nX-Exchange-Id: a0\r\nContent-Length: 5\r\n\r\nstray" + head + "Content-Length: 2\r\n\r\nok",
+		"HTTP/1.0":       "HTTP/1.0 200 OK\r\nX-Id: a1\r\nContent-Length: 2\r\n\r\nok",
+		"shed":           "HTTP/1.1 503 S\r\nX-Id: a1\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbusy",
+	}
+	dialects := map[string]Dialect{"platform": testDialect(), "default": DefaultDialect()}
+	for name, answer := range answers {
+		for dialectName, dialect := range dialects {
+			for _, reused := range []bool{false, true} {
+				for end := range answer {
+					// piece is the number of bytes that arrive at once.
+					for _, piece := range []int{1, 7, len(answer)} {
+						c := newTargetConn(&cutConn{rest: []byte(answer[:end]), piece: piece})
+						c.reused, c.readLimit = reused, framingBytes
+						req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+						req.Header.Set("X-Id", "a1")
+						req.Header.Set(ExchangeHeader, "a1")
+						if _, err := c.readAnswer(dialect, req, resp, 1000); err == nil {
+							t.Errorf("%s, %s dialect, reused %v: cut after %d of %d bytes and accepted as status %d with body %q",
+								name, dialectName, reused, end, len(answer), resp.StatusCode(), resp.Body())
+						}
+						fasthttp.ReleaseRequest(req)
+						fasthttp.ReleaseResponse(resp)
+					}
+				}
+			}
+		}
+	}
+}
+
+// cutConn is a connection on which a peer sends bytes in pieces and then closes.
+type cutConn struct {
+	net.Conn
+	rest  []byte
+	piece int
+}
+
+func (c *cutConn) Read(b []byte) (int, error) {
+	if len(c.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b[:min(len(b), c.piece)], c.rest)
+	c.rest = c.rest[n:]
+	return n, nil
+}
