guard: no resend to a target that has left, and none with an old time limit

Cause: an idempotent request whose reused connection ends without a byte is sent once more, however long the first send took and whether or not the target has left since. It carried the time limit of the first send.

Ruled out: requests in the queue (refused at the drain), requests that open a connection (one second at most).

Change: no resend to a target that drains; a resend carries the time that is left.

TestRequestIsNotResentToDrainingTarget failed before for heartbeat, deregistration and operators (3 requests, want 2), TestResentRequestHasRemainingTime with [2000 2000 2000]; both pass now.

--- a/guard/answer_test.go
+++ b/guard/answer_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,3 +137,78 @@
 		}
 	}
 }
+
+// TestRequestIsNotResentToDrainingTarget guards against a lost request that is sent once
+// more to a target that has left meanwhile, by its heartbeat, its deregistration or the
+// operators.
+func TestRequestIsNotResentToDrainingTarget(t *testing.T) {
+	for _, leave := range []string{"heartbeat", "deregistration", "operators"} {
+		t.Run(leave, func(t *testing.T) {
+			var g *Guard
+			var spec TargetSpec
+			var drained atomic.Bool
+			f := startFakeTarget(t, func(n, _ int64, c net.Conn) bool {
+				if n == 1 {
+					writeString(c, okResponseWithID("a1", "one"))
+					return true
+				}
+				switch leave {
+				case "heartbeat":
+					g.ApplyHeartbeat(Heartbeat{Spec: spec, StartedAt: 1, Sequence: 2, Draining: true})
+				case "deregistration":
+					g.Deregister("t")
+				default:
+					drained.Store(true)
+				}
+				return false
+			})
+			g = newAttemptGuard(t, clock.NewSystem(), TargetSpec{})
+			g.isDrained = func(ident.Target) bool { return drained.Load() }
+			spec = testSpec("t", f.Addr().String())
+			g.ApplyHeartbeat(Heartbeat{Spec: spec, StartedAt: 1, Sequence: 1})
+			if r := g.Forward(context.Background(), attemptRequest("a1", false)); r.GetRefusal() != nil {
+				t.Fatal(r.GetRefusal())
+			}
+			reply := g.Forward(context.Background(), attemptRequest("a2", false))
+			if r := RefusalFromWire(reply.GetRefusal()); reply.GetAnswer() != nil || r.Outcome != ident.OutcomeUnknown || !reply.GetArrived() {
+				t.Errorf("got answer %v, refusal %v, want a refusal with outcome unknown", reply.GetAnswer(), r)
+			}
+			if n := f.requests.Load(); n != 2 {
+				t.Errorf("the target got %d requests, want 2", n)
+			}
+		})
+	}
+}
+
+// TestResentRequestHasRemainingTime guards against a request that is sent once more with
+// the time limit of the first send.
+func TestResentRequestHasRemainingTime(t *testing.T) {
+	var f *fakeTarget
+	sent := make(chan int, 3)
+	f = startFakeTarget(t, func(n, conn int64, c net.Conn) bool {
+		limit, err := strconv.Atoi(f.header.Load().Get("X-Left"))
+		if err != nil {
+			t.Error(err)
+		}
+		sent <- limit
+		switch {
+		case n == 1:
+			writeString(c, okResponseWithID("a1", "one"))
+			return true
+		case conn == 1:
+			time.Sleep(50 * time.Millisecond)
+			return false
+		}
+		writeString(c, okResponseWithID("a2", "two"))
+		return true
+	})
+	g := newAttemptGuard(t, clock.NewSystem(), TargetSpec{ID: "t", Service: "svc", Address: f.Addr().String(), Slots: 1})
+	for _, id := range []string{"a1", "a2"} {
+		if r := g.Forward(context.Background(), attemptRequest(id, false)); r.GetRefusal() != nil {
+			t.Fatal(r.GetRefusal())
+		}
+	}
+	if _, second, third := <-sent, <-sent, <-sent; third > second-50 {
+		t.Errorf("the resent request has %d ms, the send before had %d ms and took 50 ms", third, second)
+	}
+}
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -35,6 +35,8 @@
 	net.Listener
 	requests atomic.Int64
 	conns    atomic.Int64
+	// header holds the headers of the last request.
+	header atomic.Pointer[http.Header]
 }
 
 // startFakeTarget starts a fakeTarget. answer gets the numbers of the request and
@@ -68,6 +70,7 @@
 			return
 		}
 		_ = req.Body.Close()
+		f.header.Store(&req.Header)
 		if !answer(f.requests.Add(1), conn, c) {
 			return
 		}
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -161,19 +161,25 @@
 }
 
 // send sends the request and reads the answer. If a reused connection gives no
-// byte, it sends an idempotent request again on another connection. The first-byte
-// timeout leaves time for that. Such resends are limited for each target, so a
-// slow target does not get twice its load. It reports whether the request was sent
-// again.
+// byte, it sends an idempotent request again on another connection, with the time that
+// is left, unless the target drains by then. The first-byte timeout leaves time for that.
+// Such resends are limited for each target, so a slow target does not get twice its load.
+// It reports whether the request was sent again.
 func (g *Guard) send(ctx context.Context, t *target, req *fasthttp.Request, resp *fasthttp.Response, idempotent bool) (resent bool, err error) {
 	var firstByte time.Duration
 	if idempotent && !g.cfg.KeepAlive {
 		firstByte = firstByteTimeout(ctx)
 	}
 	err = t.conns.exchange(ctx, req, resp, g.cfg.MaxAnswerBytes, firstByte)
-	if !idempotent || !errors.Is(err, errNoFirstByte) || ctx.Err() != nil || !t.allowResend(g.clk.Now()) {
+	if !idempotent || !errors.Is(err, errNoFirstByte) || ctx.Err() != nil {
 		return false, err
 	}
+	if t.isDraining() || g.isDrained(t.spec.ID) || !t.allowResend(g.clk.Now()) {
+		return false, err
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		setHeader(req, g.cfg.Dialect.Timeout, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
+	}
 	resp.Reset()
 	return true, t.conns.exchange(ctx, req, resp, g.cfg.MaxAnswerBytes, 0)
 }
--- a/guard/target.go
+++ b/guard/target.go
@@ -354,6 +354,12 @@
 	}
 }
 
+func (t *target) isDraining() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.draining
+}
+
 // setLeaving records whether the target says that it drains. The caller holds mu.
 func (t *target) setLeaving(now clock.Millis, leaving bool) {
 	switch {
