guard: large answers at several slots share an eighth of the memory limit

Cause: each answer was read up to max_answer_bytes, at all slots at once; nothing bounded the sum.

Ruled out: a lower max_answer_bytes, which refuses allowed answers. Tried: an error together with the last bytes read; the HTTP library ignores it then, and the whole answer was read (the test showed it).

Change: answers above 64 KiB take from a shared amount, an eighth of memory_limit_mb and at least max_answer_bytes. Without any left, the answer is given up with outcome unknown and counts against its target.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -47,6 +47,9 @@
 	// readBodyFactor times max_request_bytes is how much is read of a body that is
 	// too large, so that the caller receives an error response, not a reset.
 	readBodyFactor = 4
+	// answerMemoryPart is the part of memory_limit_mb that large answers may fill while
+	// they are read. Buffers that grow take several times as much.
+	answerMemoryPart = 8
 	// missedHeartbeats is the number of heartbeat intervals after which a target
 	// without a heartbeat expires. Heartbeats may arrive seconds late.
 	missedHeartbeats = 6
@@ -216,7 +219,7 @@
 		Instance: d.instance, Incarnation: d.incarnation, Secret: secret,
 		TTL: d.cfg.TicketTTL, MaxTickets: d.cfg.MaxTickets, MaxCachedBytes: d.cfg.MaxKeptAnswerBytes,
 	})
-	cfg := guard.Config{QueueLimit: d.cfg.QueueLimit, MaxAnswerBytes: d.cfg.MaxAnswerBytes, Incarnation: d.incarnation}
+	cfg := guard.Config{QueueLimit: d.cfg.QueueLimit, MaxAnswerBytes: d.cfg.MaxAnswerBytes, AnswerMemory: d.cfg.MemoryLimitMB << 20 / answerMemoryPart, Incarnation: d.incarnation}
 	deps := guard.Deps{
 		Clock: d.clk, Log: d.log.Named("guard"), Peers: d.peerStats, Pool: d.pool, Tickets: tickets, IsDrained: d.table.Draining,
 		Meter: d.meter,
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -43,6 +43,10 @@
 	// trouble may send bytes without end.
 	maxFramingFactor = 8
 	framingBytes     = 64 << 10
+	// smallAnswerBytes is the size up to which an answer is read without taking from
+	// Config.AnswerMemory, and answerMemoryStep the step in which larger ones take.
+	smallAnswerBytes = 64 << 10
+	answerMemoryStep = 256 << 10
 	// longBodyBytes is the size, in bytes, above which a request's body is written
 	// while the answer is read. Shorter bodies fit into the socket's buffer.
 	longBodyBytes = 4 << 10
@@ -58,6 +62,9 @@
 	errIncomplete = errors.New("answer of the target is incomplete")
 	// errTooLarge reports an answer whose body is over Config.MaxAnswerBytes.
 	errTooLarge = errors.New("answer of the target is over max_answer_bytes")
+	// errNoAnswerMemory reports an answer that was given up because the large answers
+	// that are being read fill Config.AnswerMemory.
+	errNoAnswerMemory = errors.New("large answers of targets fill the memory for them")
 	// errNoFirstByte reports a reused connection on which no byte arrived, also if
 	// the exchange failed because its deadline passed.
 	errNoFirstByte = errors.New("no answer on a reused connection")
@@ -85,6 +92,14 @@
 	strayAnswer bool
 	// readLimit is the number of bytes that the current exchange may still read.
 	readLimit int
+	// maxBody is the maximum size of the answer's body in the current exchange.
+	maxBody int
+	// bytesRead is the number of bytes that the current exchange has read, and
+	// memoryTaken what it has taken from memory for them.
+	bytesRead, memoryTaken int
+	memory                 *byteBudget
+	// noMemory is true if memory had nothing left for the current exchange.
+	noMemory bool
 	// idleLimit is how long the connection may be idle and still be reused, in
 	// milliseconds.
 	idleLimit clock.Millis
@@ -93,17 +108,61 @@
 // Read records that the current exchange has received data. It returns an error once
 // the exchange has read more than it may.
 func (c *targetConn) Read(b []byte) (int, error) {
+	if c.noMemory {
+		return 0, errNoAnswerMemory
+	}
 	if c.readLimit <= 0 {
 		return 0, errors.Wrap(errIncomplete, "target sends bytes without end")
 	}
 	n, err := c.Conn.Read(b)
 	c.readLimit -= n
+	c.bytesRead += n
 	if n > 0 {
 		c.receivedByte.Store(true)
 	}
+	for c.bytesRead > smallAnswerBytes+c.memoryTaken && c.memoryTaken < c.maxBody {
+		if !c.memory.take(answerMemoryStep) {
+			// Readers may ignore an error that comes with bytes.
+			c.noMemory = true
+			return n, nil
+		}
+		c.memoryTaken += answerMemoryStep
+	}
 	return n, err
 }
 
+// beginExchange resets the limits of an exchange with answers of at most maxBody bytes.
+func (c *targetConn) beginExchange(maxBody int) {
+	c.receivedByte.Store(false)
+	c.readLimit = maxFramingFactor*maxBody + framingBytes
+	c.bytesRead, c.maxBody, c.noMemory = 0, maxBody, false
+}
+
+// endExchange gives back the memory that the exchange has taken.
+func (c *targetConn) endExchange() {
+	c.memory.release(c.memoryTaken)
+	c.memoryTaken = 0
+}
+
+// byteBudget is an amount of memory that several users share. It is safe for concurrent
+// use.
+type byteBudget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// take reports whether n bytes were left, and takes them.
+func (b *byteBudget) take(n int) bool {
+	if b.used.Add(int64(n)) <= b.limit {
+		return true
+	}
+	b.used.Add(int64(-n))
+	return false
+}
+
+// release gives back n bytes.
+func (b *byteBudget) release(n int) { b.used.Add(int64(-n)) }
+
 // connPool holds the idle connections to one target, the most recently used one
 // last. It is safe for concurrent use.
 type connPool struct {
@@ -112,6 +171,7 @@
 	// keepAlive enables TCP keep-alive probes.
 	keepAlive bool
 	clk       clock.Clock
+	memory    *byteBudget
 
 	mu   sync.Mutex
 	idle []*targetConn
@@ -123,8 +183,8 @@
 	reducedUntil     clock.Millis
 }
 
-func newConnPool(address string, cfg Config, clk clock.Clock) *connPool {
-	return &connPool{address: address, dialect: cfg.Dialect, keepAlive: cfg.KeepAlive, clk: clk}
+func newConnPool(address string, cfg Config, clk clock.Clock, memory *byteBudget) *connPool {
+	return &connPool{address: address, dialect: cfg.Dialect, keepAlive: cfg.KeepAlive, clk: clk, memory: memory}
 }
 
 // get returns the most recently used idle connection that can be reused, or a
@@ -183,11 +243,11 @@
 	if err != nil {
 		return nil, errors.Wrap(errDial, err.Error())
 	}
-	return newTargetConn(raw), nil
+	return newTargetConn(raw, p.memory), nil
 }
 
-func newTargetConn(raw net.Conn) *targetConn {
-	c := &targetConn{Conn: raw, idleLimit: defaultIdleLimit}
+func newTargetConn(raw net.Conn, memory *byteBudget) *targetConn {
+	c := &targetConn{Conn: raw, idleLimit: defaultIdleLimit, memory: memory}
 	c.r = bufio.NewReader(c)
 	c.w = bufio.NewWriter(raw)
 	return c
@@ -253,8 +313,8 @@
 	if err != nil {
 		return err
 	}
-	c.receivedByte.Store(false)
-	c.readLimit = maxFramingFactor*maxBody + framingBytes
+	c.beginExchange(maxBody)
+	defer c.endExchange()
 	sentAt := p.clk.Now()
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
 	reusable, err := c.roundTrip(p.dialect, req, resp, maxBody, firstByte)
@@ -286,6 +346,8 @@
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return errTooLarge
+	case errors.Is(err, errNoAnswerMemory):
+		return errNoAnswerMemory
 	case errors.Is(ctx.Err(), context.Canceled):
 		return errCanceled
 	case noFirstByte:
--- a/guard/endless_test.go
+++ b/guard/endless_test.go
@@ -16,6 +16,7 @@
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/ident"
+	"chestnutlatch/wire"
 )
 
 // TestBytesWithoutEnd covers targets in trouble that send bytes which are no answer
@@ -75,7 +76,7 @@
 					if reply.GetAnswer() != nil || r.Outcome != ident.OutcomeUnknown || r.Kind == fault.DeadlineExceeded {
 						t.Errorf("got answer %v, refusal %v, want a refusal with outcome unknown before the deadline", reply.GetAnswer(), r)
 					}
-					if g.findTarget("t").suspicion(g.clk.Now()) <= newTarget(TargetSpec{}, g.cfg, g.clk).suspicion(g.clk.Now()) {
+					if g.findTarget("t").suspicion(g.clk.Now()) <= newTarget(TargetSpec{}, g.cfg, g.clk, g.answerMemory).suspicion(g.clk.Now()) {
 						t.Error("the failure does not count against the target")
 					}
 				}
@@ -224,7 +225,7 @@
 		}
 		repeated = min(max(repeated, 0), len(script))
 		raw := &scriptedConn{script: script, repeated: script[len(script)-repeated:]}
-		c := newTargetConn(raw)
+		c := newTargetConn(raw, &byteBudget{limit: 1 << 20})
 		c.reused, c.readLimit = reused, maxFramingFactor*maxBody+framingBytes
 		limit := c.readLimit
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -342,7 +343,7 @@
 				for end := range answer {
 					// piece is the number of bytes that arrive at once.
 					for _, piece := range []int{1, 7, len(answer)} {
-						c := newTargetConn(&cutConn{rest: []byte(answer[:end]), piece: piece})
+						c := newTargetConn(&cutConn{rest: []byte(answer[:end]), piece: piece}, &byteBudget{})
 						c.reused, c.readLimit = reused, framingBytes
 						req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 						req.Header.Set("X-Id", "a1")
@@ -360,6 +361,62 @@
 	}
 }
 
+// TestLargeAnswersShareMemory guards against large answers at several slots that exceed
+// the memory of the instance together. Answers beyond the limit are given up, without a
+// claim that the request has not run; small ones are read.
+func TestLargeAnswersShareMemory(t *testing.T) {
+	const large, small = 4 * answerMemoryStep, smallAnswerBytes / 2
+	release := make(chan struct{})
+	received := make(chan struct{})
+	f := startFakeTarget(t, func(n, _ int64, c net.Conn) bool {
+		size := large
+		if n == 3 {
+			size = small
+		}
+		answer := okResponseWithID(fmt.Sprint("a", n), strings.Repeat("x", size))
+		if n > 1 {
+			writeString(c, answer)
+			return true
+		}
+		writeString(c, answer[:len(answer)-1])
+		close(received)
+		<-release
+		writeString(c, answer[len(answer)-1:])
+		return true
+	})
+	g := newAttemptGuard(t, clock.NewSystem(), TargetSpec{})
+	g.cfg.MaxAnswerBytes = large
+	g.answerMemory.limit = large
+	g.Add(TargetSpec{ID: "t", Service: "svc", Address: f.Addr().String(), Slots: 2})
+	send := func(id string) *wire.ForwardReply {
+		req := attemptRequest(id, true)
+		req.TimeoutMs, req.LastResort = 60_000, true
+		return g.Forward(context.Background(), req)
+	}
+	first := make(chan *wire.ForwardReply)
+	go func() { first <- send("a1") }()
+	<-received
+	for g.answerMemory.used.Load() < large {
+		time.Sleep(time.Millisecond)
+	}
+	if r := RefusalFromWire(send("a2").GetRefusal()); r.Kind != fault.AnswerTooLarge || r.Outcome != ident.OutcomeUnknown {
+		t.Errorf("a second large answer got %v, want answer_too_large with outcome unknown", r)
+	}
+	if got := len(send("a3").GetAnswer().GetBody()); got != small {
+		t.Errorf("a small answer has %d bytes, want %d", got, small)
+	}
+	close(release)
+	if got := len((<-first).GetAnswer().GetBody()); got != large {
+		t.Errorf("the first answer has %d bytes, want %d", got, large)
+	}
+	if got := len(send("a4").GetAnswer().GetBody()); got != large {
+		t.Errorf("a large answer after the others has %d bytes, want %d", got, large)
+	}
+	if used := g.answerMemory.used.Load(); used != 0 {
+		t.Errorf("%d bytes are not given back", used)
+	}
+}
+
 // cutConn is a connection on which a peer sends bytes in pieces and then closes.
 type cutConn struct {
 	net.Conn
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -35,6 +35,9 @@
 	QueueLimit int
 	// MaxAnswerBytes is the maximum size of an answer's body, in bytes.
 	MaxAnswerBytes int
+	// AnswerMemory limits the bytes of all large answers that are read at the same time;
+	// 0 or less than MaxAnswerBytes means MaxAnswerBytes.
+	AnswerMemory int
 	// AnnounceTTL is how long a target stays registered after its last
 	// announcement or heartbeat, in milliseconds; 0 means the default of 3
 	// seconds.
@@ -82,6 +85,8 @@
 	// lastExchange is the ID of the last request sent to a target; see
 	// Dialect.Exchange.
 	lastExchange atomic.Uint64
+	// answerMemory is the memory for large answers of all targets.
+	answerMemory *byteBudget
 	// runningRetries counts the running requests that were sent to another
 	// target before.
 	runningRetries atomic.Int64
@@ -133,6 +138,8 @@
 	}
 	return &Guard{
 		cfg: cfg, clk: d.Clock, log: d.Log, meter: d.Meter, peers: d.Peers, pool: d.Pool, isDrained: d.IsDrained,
+		answerMemory: &byteBudget{limit: int64(max(cfg.AnswerMemory, cfg.MaxAnswerBytes))},
+
 		tickets:    newTicketTracker(d.Tickets),
 		attempts:   newAttemptTracker(d.Attempts),
 		targets:    map[ident.Target]*target{},
@@ -145,7 +152,7 @@
 func (g *Guard) Add(s TargetSpec) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.targets[s.ID] = newTarget(s, g.cfg, g.clk)
+	g.targets[s.ID] = newTarget(s, g.cfg, g.clk, g.answerMemory)
 }
 
 // Announce registers a target or renews its registration. It reports whether the
@@ -160,7 +167,7 @@
 		if t != nil {
 			t.retire()
 		}
-		t = newTarget(s, g.cfg, g.clk)
+		t = newTarget(s, g.cfg, g.clk, g.answerMemory)
 		t.draining = g.draining
 		g.targets[s.ID] = t
 	}
--- a/guard/heartbeat.go
+++ b/guard/heartbeat.go
@@ -81,7 +81,7 @@
 		if t != nil {
 			t.retire()
 		}
-		t = newTarget(hb.Spec, g.cfg, g.clk)
+		t = newTarget(hb.Spec, g.cfg, g.clk, g.answerMemory)
 		g.targets[hb.Spec.ID] = t
 		changed = true
 	}
--- a/guard/heartbeat_test.go
+++ b/guard/heartbeat_test.go
@@ -153,7 +153,7 @@
 		g.ApplyHeartbeat(Heartbeat{Spec: testSpec(id, f.Addr().String()), StartedAt: 2, Sequence: 1})
 		<-ended
 		conn, peer := net.Pipe()
-		former.conns.put(newTargetConn(conn))
+		former.conns.put(newTargetConn(conn, &byteBudget{}))
 		if _, err := peer.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 			t.Errorf("a connection in use at the replacement was kept: %v", err)
 		}
--- a/guard/platform_test.go
+++ b/guard/platform_test.go
@@ -289,7 +289,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			g.lastCallFailure.Store(int64(tt.callFailedAt))
-			s := g.healthSample(newTarget(TargetSpec{ID: "t", Slots: 1}, g.cfg, clk), nil, 500, tt.latency)
+			s := g.healthSample(newTarget(TargetSpec{ID: "t", Slots: 1}, g.cfg, clk, &byteBudget{}), nil, 500, tt.latency)
 			if s.Result.IsFailure() != tt.wantFailure {
 				t.Errorf("result = %s", s.Result)
 			}
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -317,6 +317,8 @@
 		return fault.NotRun(fault.TargetFailed, "target %s refused the connection: repeat the request", id)
 	case errors.Is(err, errTooLarge):
 		return fault.Unknown(fault.AnswerTooLarge, "answer of target %s is over max_answer_bytes: raise the setting or ask for less", id)
+	case errors.Is(err, errNoAnswerMemory):
+		return fault.Unknown(fault.AnswerTooLarge, "large answers fill the memory for them at target %s: repeat a lookup, look an action up", id)
 	case errors.Is(err, errIncomplete):
 		return fault.Unknown(fault.HalfAnswer, "answer of target %s broke off or has no length: repeat a lookup, look an action up", id)
 	case errors.Is(err, errCanceled):
--- a/guard/stale_conn_test.go
+++ b/guard/stale_conn_test.go
@@ -35,7 +35,7 @@
 			go serveShortIdle(conn, clk)
 		}
 	}()
-	pool := newConnPool(listener.Addr().String(), Config{Dialect: DefaultDialect()}, clk)
+	pool := newConnPool(listener.Addr().String(), Config{Dialect: DefaultDialect()}, clk, &byteBudget{})
 	exchange := func() error {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseRequest(req)
--- a/guard/target.go
+++ b/guard/target.go
@@ -107,11 +107,11 @@
 // again on a new connection, in milliseconds.
 const minResendInterval = 200 * clock.Millisecond
 
-func newTarget(s TargetSpec, cfg Config, clk clock.Clock) *target {
+func newTarget(s TargetSpec, cfg Config, clk clock.Clock, answerMemory *byteBudget) *target {
 	detector := health.NewCombinedDetector()
 	return &target{
 		spec:            s,
-		conns:           newConnPool(s.Address, cfg, clk),
+		conns:           newConnPool(s.Address, cfg, clk, answerMemory),
 		failureEstimate: health.NewFailureEstimate(health.DefaultFailureModel(), clk.Now()),
 		queue:           queue.New(s.Slots, cfg.QueueLimit),
 		detector:        detector,
