daemon: a deregistration needs an id that can be saved

Callers could see requests at a target that had left, after a restart.

Cause: the departures of all targets are one value. A deregistration of an id that is not UTF-8, from another writer, could not be encoded, so none of them was saved for two minutes.

Change: the id of a deregistration is checked like that of a heartbeat; 400 otherwise.

TestOddDeregistrationHidesNoDeparture failed before (all four odd ids were acknowledged, the departure of the real target was not in the store), passes now.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -59,9 +59,7 @@
 	case fasthttp.MethodPut:
 		heartbeat, err := d.platform.DecodeHeartbeat(id, c.PostBody())
 		if err != nil {
-			d.meter.BadHeartbeats.Inc()
-			d.log.Warn("heartbeat refused", "error", err)
-			c.Error(err.Error(), fasthttp.StatusBadRequest)
+			d.refuseHeartbeat(c, err)
 			return
 		}
 		if leaving = heartbeat.Draining; !leaving {
@@ -69,6 +67,10 @@
 		}
 		changed = d.guard.ApplyHeartbeat(heartbeat)
 	case fasthttp.MethodDelete:
+		if err := guard.CheckTargetID(ident.Target(id)); err != nil {
+			d.refuseHeartbeat(c, err)
+			return
+		}
 		leaving = true
 		changed = d.guard.Deregister(ident.Target(id))
 	default:
@@ -84,3 +86,9 @@
 	c.SetContentType("application/json")
 	c.SetBodyString("{}")
 }
+
+func (d *Daemon) refuseHeartbeat(c *fasthttp.RequestCtx, err error) {
+	d.meter.BadHeartbeats.Inc()
+	d.log.Warn("heartbeat refused", "error", err)
+	c.Error(err.Error(), fasthttp.StatusBadRequest)
+}
--- a/guard/target.go
+++ b/guard/target.go
@@ -32,8 +32,8 @@
 // be used here or published to other daemons. The error says what to change.
 func (s TargetSpec) Check() error {
 	switch {
-	case !isName(string(s.ID)):
-		return errors.Errorf("target id must have 1 to %d visible ASCII characters and no slash", maxNameBytes)
+	case CheckTargetID(s.ID) != nil:
+		return CheckTargetID(s.ID)
 	case !isName(string(s.Service)):
 		return errors.Errorf("service must have 1 to %d visible ASCII characters and no slash", maxNameBytes)
 	case !ident.IsAddress(s.Address):
@@ -44,6 +44,14 @@
 	return nil
 }
 
+// CheckTargetID returns an error for an ID that cannot be published to other daemons.
+func CheckTargetID(id ident.Target) error {
+	if !isName(string(id)) {
+		return errors.Errorf("target id must have 1 to %d visible ASCII characters and no slash", maxNameBytes)
+	}
+	return nil
+}
+
 // isName reports whether a name can be part of a header, a store key and a message to
 // other daemons.
 func isName(name string) bool {
