--- a/guard/heartbeat_test.go
+++ b/guard/heartbeat_test.go
@@ -291,3 +291,17 @@
 		t.Errorf("old departures are kept: %+v", got)
 	}
 }
+
+// TestNextIncarnationIsDeregistered guards against a late heartbeat of a target that
+// started again under its ID and left, both unknown to a process that has read the
+// departure of the incarnation before.
+func TestNextIncarnationIsDeregistered(t *testing.T) {
+	clk := clock.NewManual(clock.Hour)
+	g := newAttemptGuard(t, clk, TargetSpec{})
+	g.ApplyDepartures([]Departure{{Target: "t", StartedAt: 5, Sequence: allSequences}})
+	g.Deregister("t")
+	g.ApplyHeartbeat(Heartbeat{Spec: testSpec("t", "127.0.0.1:1"), StartedAt: clk.Wall() - clock.Second, Sequence: 9})
+	if takesWork(g, "t") {
+		t.Error("a late heartbeat registered the target")
+	}
+}
