review: case 9, a failed run passed on as 503

Cause: an upstream's 503 without the header for requests that have not run is passed on to the caller of a one-time request, to whom 503 is a promise.

Adds the script of the case. The program of the scripts draws its ports from below those of outgoing connections, which could take one before.

--- a/review/tool-2/caller.go
+++ b/review/tool-2/caller.go
@@ -15,6 +15,8 @@
 
 // callerAnswer is what a caller got for a request.
 type callerAnswer struct {
+	// method is that of the request.
+	method string
 	// raw holds the bytes of the answer's head.
 	raw       []byte
 	status    int
@@ -65,6 +67,7 @@
 		method, path, host, names.AttemptID, id, names.Remaining, callerDeadline.Milliseconds(), names.Authorization, apiKey, len(body), body); err != nil {
 		return answer, true, err
 	}
+	answer.method = method
 	length := -1
 	for first := true; ; first = false {
 		line, err := c.r.ReadBytes('\n')
--- a/review/tool-2/main.go
+++ b/review/tool-2/main.go
@@ -36,6 +36,7 @@
 	"6": storeSilentAtStop,
 	"7": spoiltSignature,
 	"8": spoiltHeaderName,
+	"9": failedAfterRun,
 }
 
 func main() {
--- a/review/tool-2/rig.go
+++ b/review/tool-2/rig.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -58,27 +59,41 @@
 	fmt.Fprintf(r.out, "%8.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// freeAddresses returns loopback addresses whose ports were free. Their listeners stay open
-// until all are drawn, so that none is drawn twice.
+// Ports of a run are drawn from below the range from which the system takes the ports of
+// outgoing connections, so that none of those takes one before its daemon listens on it.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// freeAddresses returns loopback addresses whose ports are free for TCP and UDP.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
+	for port := firstPort + rand.IntN((lastPort-firstPort)/2); len(out) < n; port++ {
+		if port > lastPort {
+			return nil, fmt.Errorf("no %d free ports from %d to %d", n, firstPort, lastPort)
 		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		if isFree(address) {
+			out = append(out, address)
 		}
-		listeners = append(listeners, l)
-		out = append(out, l.Addr().String())
 	}
 	return out, nil
 }
 
+func isFree(address string) bool {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer l.Close()
+	p, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return p.Close() == nil
+}
+
 // newRig starts the store, n daemons, and n upstreams of alternating services that answer
 // with handle.
 func newRig(root, dir string, rec *record, n int, handle func(u *upstream, req *upstreamRequest) upstreamAnswer) (*rig, error) {
