review: case 10, a departure that was acknowledged without the store

Cause: a daemon acknowledges a departure that it could not save. Its next process does not know of it and takes a late heartbeat for the first one.

--- a/review/tool-2/main.go
+++ b/review/tool-2/main.go
@@ -33,10 +33,11 @@
 // cases holds the scripts by their number. Each returns what broke the rule, one line for
 // each violation.
 var cases = map[string]func(root, dir string, rec *record, trouble bool) (broken []string, err error){
-	"6": storeSilentAtStop,
-	"7": spoiltSignature,
-	"8": spoiltHeaderName,
-	"9": failedAfterRun,
+	"6":  storeSilentAtStop,
+	"7":  spoiltSignature,
+	"8":  spoiltHeaderName,
+	"9":  failedAfterRun,
+	"10": forgottenDeparture,
 }
 
 func main() {
--- a/review/tool-2/upstream.go
+++ b/review/tool-2/upstream.go
@@ -27,6 +27,8 @@
 	sequence int
 	// isFaulty is true while the upstream is in trouble.
 	isFaulty bool
+	// hasLeft is true once the upstream sends no more heartbeats.
+	hasLeft bool
 }
 
 // upstreamRequest is one request at an upstream.
@@ -89,7 +91,10 @@
 func (u *upstream) sendHeartbeats() {
 	for {
 		pause := heartbeatInterval
-		if err := u.heartbeat("ready"); err != nil {
+		if u.left() {
+			return
+		}
+		if err := u.sendHeartbeat(u.nextHeartbeat()); err != nil {
 			pause = 200 * time.Millisecond
 		}
 		select {
@@ -101,16 +106,38 @@
 	}
 }
 
-func (u *upstream) heartbeat(state string) error {
+func (u *upstream) left() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.hasLeft
+}
+
+// leave ends the heartbeats.
+func (u *upstream) leave() {
 	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.hasLeft = true
+}
+
+// nextHeartbeat returns the body of the next heartbeat, which says that the upstream is ready.
+func (u *upstream) nextHeartbeat() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.sequence++
-	sequence := u.sequence
-	u.mu.Unlock()
-	body := strings.NewReplacer(
+	return strings.NewReplacer(
 		"%SERVICE%", u.daemon.service, "%ADDRESS%", u.listener.Addr().String(), "%ZONE%", u.daemon.zone, "%SLOTS%", strconv.Itoa(upstreamSlots),
-		"%STATE%", state, "%SEQUENCE%", strconv.Itoa(sequence), "%BORN%", strconv.FormatInt(u.born, 10),
+		"%STATE%", "ready", "%SEQUENCE%", strconv.Itoa(u.sequence), "%BORN%", strconv.FormatInt(u.born, 10),
 	).Replace(names.Heartbeat)
-	req, err := http.NewRequest(http.MethodPut, "http://"+u.daemon.control+names.HeartbeatPath+u.id, bytes.NewBufferString(body))
+}
+
+func (u *upstream) sendHeartbeat(body string) error { return u.tell(http.MethodPut, body) }
+
+// deregister tells the daemon that the upstream is gone.
+func (u *upstream) deregister() error { return u.tell(http.MethodDelete, "") }
+
+// tell sends a call to the control address and returns nil if it is confirmed within a second.
+func (u *upstream) tell(method, body string) error {
+	req, err := http.NewRequest(method, "http://"+u.daemon.control+names.HeartbeatPath+u.id, bytes.NewBufferString(body))
 	if err != nil {
 		return err
 	}
@@ -122,7 +149,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode/100 != 2 {
-		return fmt.Errorf("heartbeat got %s", resp.Status)
+		return fmt.Errorf("%s got %s", method, resp.Status)
 	}
 	return nil
 }
