--- a/review/tool-2/caller.go
+++ b/review/tool-2/caller.go
@@ -159,11 +159,13 @@
 					id := fmt.Sprintf("%s-%d-%d-%d", label, d, n, k)
 					var a callerAnswer
 					var err error
+					r.record.line("sent %s to %s", id, daemon.name)
 					if (n+k)%3 == 0 {
 						a, err = c.send(http.MethodGet, "status.example", "/status/"+id, id, nil)
 					} else {
 						a, err = c.send(http.MethodPut, "vouchers.example", "/vouchers/"+id, id, []byte("one crank"))
 					}
+					r.record.line("answered %s: %d, error %v", id, a.status, err)
 					check(id, a, err)
 					time.Sleep(pause)
 				}
--- a/review/tool-2/leaving.go
+++ b/review/tool-2/leaving.go
@@ -82,10 +82,9 @@
 					mu.Lock()
 					sentAt[id] = time.Now()
 					mu.Unlock()
+					rec.line("sent %s to %s", id, d.name)
 					a, err := c.send(http.MethodPut, "vouchers.example", "/vouchers/"+id, id, []byte("one crank"))
-					if err != nil || a.status != http.StatusOK {
-						rec.line("the client of %s gets %d, error %v", id, a.status, err)
-					}
+					rec.line("answered %s: %d, error %v", id, a.status, err)
 				}
 			})
 		}
--- a/review/tool-2/stopping.go
+++ b/review/tool-2/stopping.go
@@ -20,7 +20,7 @@
 	// stopAfter is when the SIGTERM comes after the beginning of the silence.
 	stopAfter = 500 * time.Millisecond
 	// stopCallers is the number of callers at each daemon that stops.
-	stopCallers = 16
+	stopCallers = 24
 )
 
 // workTime draws the work of a request of the class visit-book: mean 440 ms, spread 0.8, at
@@ -34,6 +34,7 @@
 type stoppedRequest struct {
 	sent, ended        time.Time
 	workFrom, workTill time.Time
+	method             string
 	status             int
 	signature          string
 	err                error
@@ -80,9 +81,15 @@
 					requests[id] = req
 					mu.Unlock()
 					rec.line("a client of %s sends %s", d.name, id)
-					a, err := c.send(http.MethodPut, "vouchers.example", "/vouchers/"+id, id, []byte("one crank"))
+					var a callerAnswer
+					var err error
+					if (n+k)%2 == 0 {
+						a, err = c.send(http.MethodPut, "vouchers.example", "/vouchers/"+id, id, []byte("one crank"))
+					} else {
+						a, err = c.send(http.MethodGet, "status.example", "/status/"+id, id, nil)
+					}
 					mu.Lock()
-					req.ended, req.status, req.signature, req.err = time.Now(), a.status, a.signature, err
+					req.ended, req.method, req.status, req.signature, req.err = time.Now(), a.method, a.status, a.signature, err
 					mu.Unlock()
 					rec.line("the client of %s gets %d, signature %q, error %v", id, a.status, a.signature, err)
 					time.Sleep(100 * time.Millisecond)
@@ -126,7 +133,7 @@
 		rec.line("%s, sent %v after the SIGTERM, ended %v after it with %d and error %v while its upstream was at work until %v after it; excused: %v",
 			id, after.Round(time.Millisecond), req.ended.Sub(stoppedAt).Round(time.Millisecond), req.status, req.err, req.workTill.Sub(stoppedAt).Round(time.Millisecond), excused)
 		if !excused {
-			broken = append(broken, fmt.Sprintf("%s was sent %v after the SIGTERM and broken off %v after it, while its upstream was at work", id,
+			broken = append(broken, fmt.Sprintf("%s %s was sent %v after the SIGTERM and broken off %v after it, while its upstream was at work", req.method, id,
 				after.Round(time.Millisecond), req.ended.Sub(stoppedAt).Round(time.Millisecond)))
 		}
 	}
