--- a/daemon/caller_conn.go
+++ b/daemon/caller_conn.go
@@ -38,6 +38,10 @@
 	// lastAcceptTime is how long a stopping daemon still accepts connections of
 	// callers that have not yet noticed.
 	lastAcceptTime = 50 * time.Millisecond
+	// queueCheckTime is how long the listen queue must then stay empty before the listener
+	// is closed, and maxAcceptTime limits all of this from the beginning.
+	queueCheckTime = 5 * time.Millisecond
+	maxAcceptTime  = 200 * time.Millisecond
 )
 
 // exchangePhase is the part of an HTTP exchange that a connection is in.
@@ -364,6 +368,10 @@
 	buffers *callerBuffers
 	// stopping is set when no more connections are expected.
 	stopping atomic.Bool
+	// acceptEnd is when the last connection is accepted. It is set before stopping.
+	acceptEnd time.Time
+	closeOnce sync.Once
+	closeErr  error
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -373,14 +381,18 @@
 	return &callerListener{Listener: l, clk: clk, limits: limits, conns: map[*callerConn]struct{}{}}
 }
 
-// Accept implements net.Listener. After stop, it returns io.EOF once no connection
-// waits any more.
+// Accept implements net.Listener. After stop, it closes the listener and returns io.EOF
+// once no connection waits any more. The system would accept further connections on an
+// open listener, and reset them when the process ends.
 func (l *callerListener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
-	if err != nil {
-		if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+	if err != nil && l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		if raw, err = l.acceptWaiting(); err != nil {
+			_ = l.Close()
 			return nil, io.EOF
 		}
+	}
+	if err != nil {
 		return nil, err
 	}
 	c := &callerConn{Conn: raw, clk: l.clk, limits: l.limits, writeTimeout: l.writeTimeout, buffers: l.buffers}
@@ -401,10 +413,31 @@
 	return c, nil
 }
 
+// acceptWaiting accepts a connection that waits in the listen queue although the time for
+// accepting is over. It returns an error if there is none.
+func (l *callerListener) acceptWaiting() (net.Conn, error) {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || time.Now().After(l.acceptEnd) {
+		return nil, os.ErrDeadlineExceeded
+	}
+	if err := d.SetDeadline(time.Now().Add(queueCheckTime)); err != nil {
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
+// Close implements net.Listener. Only the first call closes the listener: the server closes
+// it again when it shuts down.
+func (l *callerListener) Close() error {
+	l.closeOnce.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
+}
+
 // stop accepts the connections that wait in the listen queue or arrive within
 // lastAcceptTime, and ends those on which no request is in progress. It returns when
 // every connection is closed or ctx ends.
 func (l *callerListener) stop(ctx context.Context) {
+	l.acceptEnd = time.Now().Add(maxAcceptTime)
 	l.stopping.Store(true)
 	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 		_ = d.SetDeadline(time.Now().Add(lastAcceptTime))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -432,6 +432,7 @@
 		return d.callers.Serve(callers)
 	})
 	go d.tickGuard(ctx)
+	go d.refuseWaiting(ctx)
 	if d.platform != nil {
 		go run("readiness server", func() error { return d.ready.Serve(l.ready) })
 		go run("announcement server", func() error { return d.announce.Serve(l.announce) })
@@ -440,7 +441,6 @@
 		go d.departures.run(ctx)
 		go d.roster.run(ctx)
 		go d.documentSyncer.run(ctx)
-		go d.refuseWaiting(ctx)
 		return failed
 	}
 	d.members.start(ctx, l.members)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -152,6 +152,10 @@
 		}
 	}()
 	for t.guardCalls < maxGuardCalls && ctx.Err() == nil {
+		if t.arrivals == 0 && e.isDispatchEnded() {
+			t.lastRefusal = stopRefusal()
+			break
+		}
 		if t.guardCalls >= maxDrainGuardCalls && e.maxSlotWait(e.Clock.Now()) > 0 {
 			break
 		}
--- a/entry/body.go
+++ b/entry/body.go
@@ -84,7 +84,9 @@
 	}
 	conn := c.Conn()
 	b.holder = e.Memory.Open(e.Clock.Now(), c.RemoteIP().String(), team.ID, func() { interruptRead(conn) })
+	stop := e.interruptReadAtEnd(c)
 	body, err := e.fill(b)
+	stop()
 	if !e.Memory.Finish(b.holder) {
 		err = errNoMemory
 		e.Meter.CountBody("given_up", "stalled")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -139,6 +139,9 @@
 	// baseCtx is the parent context of all requests; cancelBase ends them.
 	baseCtx    context.Context
 	cancelBase context.CancelFunc
+	// dispatchCtx ends, by endDispatch, when requests are no longer sent to targets.
+	dispatchCtx context.Context
+	endDispatch context.CancelFunc
 }
 
 // New returns an Entry that uses d.
@@ -154,6 +157,7 @@
 	}
 	e := &Entry{Deps: d, splits: choose.NewSplitter(uint64(d.Incarnation)), sizes: choose.NewRouteSizes(), times: choose.NewResponseTimes()}
 	e.baseCtx, e.cancelBase = context.WithCancel(context.Background())
+	e.dispatchCtx, e.endDispatch = context.WithCancel(e.baseCtx)
 	e.client = newGuardClient(e.baseCtx, d)
 	return e
 }
@@ -274,6 +278,9 @@
 		return nil, unknownIfTicket(ticket, refusal)
 	}
 	body, refusal := e.readBody(c, r.team, b)
+	if e.isDispatchEnded() {
+		refusal = stopRefusal()
+	}
 	if bodyTime := e.Clock.Now() - r.began; refusal == nil && bodyTime > 0 {
 		// The key may have been withdrawn while the body was read, and the time limit
 		// counts from its arrival.
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -29,6 +29,10 @@
 	var lastReply *wire.ForwardReply
 	attempts := 0
 	for calls := 0; attempts < maxAttempts && calls < maxGuardCalls; calls++ {
+		if e.isDispatchEnded() && !r.outcomeUnknown && lastReply == nil {
+			last = stopRefusal()
+			break
+		}
 		if calls > 0 && !e.takeRetry(ctx, r, last) {
 			break
 		}
