peers: closing a connection does not hold up the others

gRPC's Close blocks for seconds if the peer does not read. Pool.Remove held the pool's lock meanwhile, so all calls to other daemons waited, and Pool.Close came at the end of a planned stop, whose time was over then. Connections are now taken out under the lock and closed beside it.

--- a/peers/pool.go
+++ b/peers/pool.go
@@ -89,20 +89,23 @@
 // does nothing if there is no connection to that address.
 func (p *Pool) Remove(address string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if conn := p.conns[address]; conn != nil {
-		_ = conn.Close()
-		delete(p.conns, address)
+	conn := p.conns[address]
+	delete(p.conns, address)
+	p.mu.Unlock()
+	if conn != nil {
+		go func() { _ = conn.Close() }()
 	}
 }
 
-// Close closes all connections and empties the pool.
+// Close closes all connections and empties the pool. It does not wait for that: closing
+// blocks for seconds if the peer does not read.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, conn := range p.conns {
-		_ = conn.Close()
-		delete(p.conns, address)
+	conns := p.conns
+	p.conns = map[string]*grpc.ClientConn{}
+	p.mu.Unlock()
+	for _, conn := range conns {
+		go func() { _ = conn.Close() }()
 	}
 }
 
