answer, guard: heads that are no HTTP are no answers

Cause: beyond the start of the status line the guard relied on the HTTP library, which accepts blanks in and behind names, continued lines, LF alone and a length beside chunks.

Ruled out: a check of the parsed fields, because the library has repaired them by then.

Change: package answer checks head and trailer line by line as they arrive, before the library reads them. The reason of an incomplete answer now reaches the log.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"chestnutlatch/answer"
 	"chestnutlatch/clock"
 	"chestnutlatch/sock"
 )
@@ -426,6 +426,8 @@
 		return errNoFirstByte
 	case ctx.Err() != nil:
 		return errTimeout
+	case errors.Is(err, errIncomplete):
+		return err
 	case c.receivedByte.Load():
 		return errIncomplete
 	default:
@@ -559,7 +561,7 @@
 // answer ended with its connection.
 func (c *targetConn) readResponse(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (framed bool, err error) {
 	for interim := 0; ; interim++ {
-		if err := c.checkStatusLine(); err != nil {
+		if err := c.checkHead(); err != nil {
 			return false, err
 		}
 		if err := resp.Header.Read(c.r); err != nil {
@@ -586,15 +588,18 @@
 		return false, err
 	}
 	if length == chunkedBody {
+		if err := c.checkFields(answer.Trailer()); err != nil {
+			return false, err
+		}
 		return true, resp.Header.ReadTrailer(c.r)
 	}
 	return true, nil
 }
 
-// checkStatusLine waits for the start of an answer, up to the character after its status,
-// and returns an error unless it is HTTP/1.0 or HTTP/1.1 with a status of three digits
-// from 100 to 599. fasthttp accepts other versions, and reads status 000 as 200.
-func (c *targetConn) checkStatusLine() error {
+// checkHead waits for the whole head of an answer and returns an error unless it is one
+// that may be passed on. It reads nothing, so that the library can parse the head then. An
+// error is returned when the wrong byte arrives: more may never come.
+func (c *targetConn) checkHead() error {
 	for {
 		b, err := c.r.Peek(1)
 		if err != nil {
@@ -608,27 +613,28 @@
 			return err
 		}
 	}
-	for n := range statusLineForm {
-		// Each byte is checked when it arrives: more may never come.
-		b, err := c.r.Peek(n + 1)
+	return c.checkFields(answer.Head{})
+}
+
+// checkFields waits until head finds the end of the fields, and returns an error as soon as
+// it finds a defect. It reads nothing.
+func (c *targetConn) checkFields(head answer.Head) error {
+	for n := c.r.Buffered(); ; n = c.r.Buffered() + 1 {
+		if _, err := c.r.Peek(n); err != nil {
+			return err
+		}
+		b, err := c.r.Peek(c.r.Buffered())
 		if err != nil {
 			return err
 		}
-		if strings.IndexByte(statusLineForm[n], b[n]) < 0 {
-			return errors.Wrap(errIncomplete, "status line is not that of an HTTP/1.x answer")
+		if done, err := head.Check(b); err != nil {
+			return errors.Wrap(errIncomplete, err.Error())
+		} else if done {
+			return nil
 		}
 	}
-	return nil
 }
 
-// statusLineForm holds the characters that are allowed at each position of the start of a
-// status line.
-var statusLineForm = [...]string{
-	"H", "T", "T", "P", "/", "1", ".", "01", " ", "12345", digits, digits, " \r\n",
-}
-
-const digits = "0123456789"
-
 // readUntilClose reads a body that ends when the target closes the connection. A
 // reset is an error.
 func (c *targetConn) readUntilClose(resp *fasthttp.Response, maxBody int) error {
