guard, platform: a success needs the target's signature

Such a head is valid HTTP, so the check of heads does not find it; the cause is the same, that nobody checked an answer as a whole before it was passed on.

Ruled out: checking the signature's value, for which the daemon has no key.

Change: Dialect.Signature, set by the adapter. A success with none, an empty one or several counts as an incomplete answer. Without a name in the dialect nothing changes.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -30,7 +30,7 @@
 	QueueFull
 	DeadlineExceeded
 	TargetFailed
-	// HalfAnswer: the target's answer broke off or has no length.
+	// HalfAnswer: the target's answer broke off or is not valid.
 	HalfAnswer
 	AnswerTooLarge
 	// PathFailed: the daemon of the target or of the ticket cannot be reached,
--- a/guard/dialect.go
+++ b/guard/dialect.go
@@ -29,6 +29,9 @@
 	// NotRun marks an answer by which a target refuses a request without
 	// running it.
 	NotRun string
+	// Signature carries the target's signature. If it is set, a success without exactly one
+	// is not passed on.
+	Signature string
 	// AllowUnframed accepts answers whose body ends when the connection closes.
 	AllowUnframed bool
 }
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -158,6 +158,9 @@
 	if errors.Is(err, errCold) {
 		return nil, t.coldFullRefusal(priority), false
 	}
+	if err == nil && g.lacksSignature(httpResp) {
+		err = errors.Wrap(errIncomplete, "success without the target's signature")
+	}
 	latency := ident.Micros(time.Since(startedAt).Microseconds())
 	g.meter.TargetTime.UpdateDuration(startedAt)
 	sample := g.healthSample(t, err, httpResp.StatusCode(), latency)
@@ -192,6 +195,17 @@
 	return r
 }
 
+// lacksSignature reports whether the answer is a success that does not have exactly one
+// signature of the target, although targets sign theirs.
+func (g *Guard) lacksSignature(resp *fasthttp.Response) bool {
+	name := g.cfg.Dialect.Signature
+	if name == "" || resp.StatusCode() >= fasthttp.StatusMultipleChoices {
+		return false
+	}
+	signatures := resp.Header.PeekAll(name)
+	return len(signatures) != 1 || len(signatures[0]) == 0
+}
+
 // isShed reports whether the answer says that the target refused the request without
 // running it.
 func (g *Guard) isShed(resp *fasthttp.Response) bool {
@@ -378,7 +392,7 @@
 	case errors.Is(err, errNoAnswerMemory):
 		return fault.Unknown(fault.AnswerTooLarge, "large answers fill the memory for them at target %s: repeat a lookup, look an action up", id)
 	case errors.Is(err, errIncomplete):
-		return fault.Unknown(fault.HalfAnswer, "answer of target %s broke off or has no length: repeat a lookup, look an action up", id)
+		return fault.Unknown(fault.HalfAnswer, "answer of target %s broke off or is not valid: repeat a lookup, look an action up", id)
 	case errors.Is(err, errCanceled):
 		return fault.Unknown(fault.Canceled, "request ended while target %s worked on it", id)
 	default:
--- a/stand/target.go
+++ b/stand/target.go
@@ -225,6 +225,9 @@
 	if dialect.AttemptID != "" {
 		c.Response.Header.SetBytesV(dialect.AttemptID, c.Request.Header.Peek(dialect.AttemptID))
 	}
+	if dialect.Signature != "" {
+		c.Response.Header.Set(dialect.Signature, string(t.cfg.ID))
+	}
 	behavior := t.admit(c)
 	if behavior.shed {
 		if dialect.NotRun != "" {
