depart, daemon: a departure is kept before it is acknowledged

Cause: the acknowledgement came after 0.4 s although the silent store had not taken the departure. Only that process knew of it, and it was killed; the next one took a late heartbeat for the first one. A repeated deregistration was acknowledged without an attempt to save it, and a process without the store accepted targets after 0.8 s in any case.

Ruled out: no acknowledgement without the store, since targets wait through an outage and then end without one; the member key, whose lease ends within 6 s.

Change: a departure is acknowledged when the store has it, or two of three chosen daemons (the only other one, if there is one); both are tried at once, else the answer is 503. The next process asks the same daemons, and accepts no ready target before two of them or the store have told it the departures.

--- a/answer/head_test.go
+++ b/answer/head_test.go
@@ -102,6 +102,7 @@
 		if err != nil {
 			r.Fatalf("accepted head %q is refused by a client: %v", b, err)
 		}
+		_ = resp.Body.Close()
 		for name := range resp.Header {
 			if strings.ContainsAny(name, " \t\x00") {
 				r.Fatalf("accepted head %q has the field name %q", b, name)
--- a/daemon/departure_log.go
+++ b/daemon/departure_log.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
 	"chestnutlatch/clock"
+	"chestnutlatch/depart"
 	"chestnutlatch/guard"
 	"chestnutlatch/ident"
+	"chestnutlatch/member"
 	"chestnutlatch/store"
 	"chestnutlatch/wire"
 )
@@ -22,64 +25,166 @@
 	// departureLease is how long the key lives after its last write. Late heartbeats
 	// arrive within seconds, and a process is restarted within seconds.
 	departureLease = 2 * clock.Minute
-	// maxStoredDepartures bounds the size of the key.
-	maxStoredDepartures = 32
 	// departureSaveTimeout limits how long an acknowledgement waits for the store. A
 	// target waits for one second.
 	departureSaveTimeout = 400 * time.Millisecond
-	// departureLoadWait is the time after the start within which a heartbeat waits for
-	// the departures of the previous process.
+	// departureLoadWait is how long a heartbeat waits for the departures of the previous
+	// process, and how long that process's peers are asked for them once the store has been
+	// read.
 	departureLoadWait = 800 * time.Millisecond
+	// departureAskInterval is the time between two attempts to ask the peers.
+	departureAskInterval = 100 * time.Millisecond
 	// departureRetryInterval is the time between two attempts to save departures that
 	// could not be saved.
 	departureRetryInterval = time.Second
 )
 
-// departureLog keeps the departures of the local targets in the store, so that they bind
-// the next process on this instance too. It is safe for concurrent use.
+// departureLog keeps the departures of the local targets in the store and at peers, so that
+// they bind the next process on this instance too, and holds those of peers. It is safe for
+// concurrent use.
 type departureLog struct {
 	d *Daemon
-	// loaded is closed when the departures of the previous process are applied, or
-	// departureLoadWait after the start.
-	loaded     chan struct{}
-	endLoading func()
+	// held has the departures of other instances.
+	held *depart.Ledger
+	// loaded is closed when the departures of the previous process are applied.
+	loaded chan struct{}
+	// listed is closed when the first listing of daemons is applied.
+	listed     chan struct{}
+	endListing func()
+
+	// recorded counts the changes of the guard's departures, and kept is the highest count
+	// whose departures bind the next process.
+	recorded, kept atomic.Uint64
 
 	// mu is held during the store calls.
 	mu sync.Mutex
 	// revision is that of the key when it was last read or written; 0 if it does not
 	// exist.
 	revision store.Revision
-	// unsaved is true if the last save failed.
-	unsaved bool
+	// unsaved is true if the store lacks departures.
+	unsaved atomic.Bool
 }
 
 func newDepartureLog(d *Daemon) *departureLog {
-	l := &departureLog{d: d, loaded: make(chan struct{})}
-	l.endLoading = sync.OnceFunc(func() { close(l.loaded) })
+	l := &departureLog{d: d, held: depart.NewLedger(), loaded: make(chan struct{}), listed: make(chan struct{})}
+	l.endListing = sync.OnceFunc(func() { close(l.listed) })
 	return l
 }
 
-// run retries failed saves until ctx ends.
+// run applies the departures of the previous process and retries failed saves until ctx
+// ends.
 func (l *departureLog) run(ctx context.Context) {
-	timer := time.AfterFunc(departureLoadWait, l.endLoading)
-	defer timer.Stop()
-	defer l.endLoading()
+	go l.load(ctx)
 	runEvery(ctx, departureRetryInterval, func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		if l.unsaved {
+		if l.unsaved.Load() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
 			l.saveLocked(ctx)
 		}
 	})
 }
 
-// awaitLoaded waits until the departures of the previous process are known, or for the
-// rest of departureLoadWait.
-func (l *departureLog) awaitLoaded() { <-l.loaded }
+// load asks the peers that may hold departures of the previous process for them. They are
+// known when enough of the peers have answered and the list of peers no longer grows, as it
+// does while this daemon learns it without the store. Once the store has been read, which
+// usually has the departures too, load stops after departureLoadWait.
+func (l *departureLog) load(ctx context.Context) {
+	defer close(l.loaded)
+	var answered sync.Map
+	var listedAt time.Time
+	for lastCount := 0; ctx.Err() == nil; sleep(ctx, departureAskInterval) {
+		if isClosed(l.listed) && listedAt.IsZero() {
+			listedAt = time.Now()
+		}
+		count := l.d.roster.count()
+		peers := l.holders()
+		isEnough := l.askPeers(ctx, peers, &answered)
+		isListed := !listedAt.IsZero()
+		if isEnough && (isListed || count == lastCount) || isListed && (len(peers) == 0 || time.Since(listedAt) > departureLoadWait) {
+			l.d.log.Info("departures of the previous process are known", "store_read", isListed, "peers", len(peers), "enough_answered", isEnough)
+			return
+		}
+		lastCount = count
+	}
+}
+
+// holders returns the peers that hold the departures of this instance.
+func (l *departureLog) holders() []member.Member {
+	return depart.Holders(l.d.instance, l.d.cfg.DataCentre, l.d.roster.others(func(*member.Member) bool { return true }))
+}
+
+// askPeers asks the peers that are not in answered for departures of this instance, and adds
+// those that reply. It reports whether enough of all of them have replied.
+func (l *departureLog) askPeers(ctx context.Context, peers []member.Member, answered *sync.Map) bool {
+	return l.callPeers(ctx, peers, func(ctx context.Context, m member.Member, client wire.InnerClient) error {
+		if _, ok := answered.Load(m.Instance); ok {
+			return nil
+		}
+		reply, err := client.HeldDepartures(ctx, &wire.HeldDeparturesRequest{Instance: string(l.d.instance)})
+		if err != nil {
+			return err
+		}
+		if list := departuresFromWire(reply.GetDepartures()); len(list) > 0 {
+			l.apply(list, "peer", string(m.Instance))
+			l.unsaved.Store(true)
+		}
+		answered.Store(m.Instance, true)
+		return nil
+	})
+}
+
+// callPeers calls peers side by side, each for at most peerCallTimeout, and reports whether
+// enough of them have replied. It does not wait for the others then.
+func (l *departureLog) callPeers(ctx context.Context, peers []member.Member, call func(context.Context, member.Member, wire.InnerClient) error) bool {
+	// The calls may outlast this function, but not the time limit.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), peerCallTimeout)
+	time.AfterFunc(peerCallTimeout, cancel)
+	results := make(chan error, len(peers))
+	for _, m := range peers {
+		go func() {
+			client, err := l.d.peers.Get(m.InnerAddress)
+			if err == nil {
+				err = call(ctx, m, client)
+			}
+			if err != nil {
+				l.d.log.Debug("call about departures failed", "member", m.Instance, "error", err)
+			}
+			results <- err
+		}()
+	}
+	replied := 0
+	for range peers {
+		if <-results == nil {
+			replied++
+		}
+		if depart.IsEnough(len(peers), replied) {
+			return true
+		}
+	}
+	return false
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitLoaded waits for at most departureLoadWait until the departures of the previous
+// process are known, and reports whether they are.
+func (l *departureLog) awaitLoaded() bool {
+	select {
+	case <-l.loaded:
+	case <-time.After(departureLoadWait):
+	}
+	return isClosed(l.loaded)
+}
 
 // applyListing applies the first listing of daemons that was read without staleness.
 func (l *departureLog) applyListing(entries []store.Entry) {
-	defer l.endLoading()
 	for _, e := range entries {
 		if e.Key == l.key() {
 			l.mu.Lock()
@@ -99,36 +204,88 @@
 		l.d.log.Warn("departures of local targets cannot be decoded: ignoring them", "key", e.Key, "error", err)
 		return
 	}
+	l.apply(departuresFromWire(&msg), "key_revision", uint64(e.Revision))
+}
+
+// apply applies departures of the previous process. source is logged.
+func (l *departureLog) apply(list []guard.Departure, source ...any) {
+	l.d.log.Info("departures of local targets read", append([]any{"count", len(list)}, source...)...)
+	if l.d.guard.ApplyDepartures(list) {
+		l.d.fleet.setTargets(l.d.guard.Targets())
+	}
+}
+
+func departuresFromWire(msg *wire.Departures) []guard.Departure {
 	var list []guard.Departure
 	for _, m := range msg.GetDepartures() {
 		list = append(list, guard.Departure{
 			Target: ident.Target(m.GetTarget()), StartedAt: clock.Millis(m.GetStartedAtMs()), StartUnknown: m.GetStartUnknown(), Sequence: m.GetSequence(),
 		})
 	}
-	l.d.log.Info("departures of local targets read", "count", len(list), "key_revision", uint64(e.Revision))
-	if l.d.guard.ApplyDepartures(list) {
-		l.d.fleet.setTargets(l.d.guard.Targets())
+	return list
+}
+
+func departuresToWire(list []guard.Departure) *wire.Departures {
+	msg := &wire.Departures{}
+	for _, d := range list {
+		msg.Departures = append(msg.Departures, &wire.Departure{
+			Target: string(d.Target), StartedAtMs: uint64(d.StartedAt), StartUnknown: d.StartUnknown, Sequence: d.Sequence,
+		})
 	}
+	return msg
 }
 
-// save writes the departures to the store. It returns after departureSaveTimeout at the
-// latest: a target must get its acknowledgement while the store is unavailable too.
-func (l *departureLog) save(ctx context.Context) {
+// noteRecorded records that the guard has a new departure, which binds this process only.
+func (l *departureLog) noteRecorded() { l.recorded.Add(1) }
+
+// keep makes the guard's departures bind the next process, and reports whether they do: they
+// are in the store, or enough peers hold them. It returns after departureSaveTimeout at the
+// latest.
+func (l *departureLog) keep(ctx context.Context) bool {
+	count := l.recorded.Load()
+	if l.kept.Load() >= count {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, departureSaveTimeout)
 	defer cancel()
-	saved := make(chan struct{})
+	results := make(chan bool, 2)
 	go func() {
-		defer close(saved)
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.saveLocked(ctx)
+		results <- l.saveLocked(ctx)
 	}()
-	select {
-	case <-saved:
-	case <-ctx.Done():
+	go func() { results <- l.holdAtPeers(ctx) }()
+	for range cap(results) {
+		select {
+		case isKept := <-results:
+			if isKept {
+				storeMax(&l.kept, count)
+				return true
+			}
+		case <-ctx.Done():
+		}
+	}
+	l.d.log.Warn("departure is not acknowledged: neither the store nor peers have kept it")
+	return false
+}
+
+// storeMax stores n if it is higher than the present value.
+func storeMax(v *atomic.Uint64, n uint64) {
+	for old := v.Load(); old < n && !v.CompareAndSwap(old, n); {
+		old = v.Load()
 	}
 }
 
+// holdAtPeers reports whether enough peers hold the departures of this instance.
+func (l *departureLog) holdAtPeers(ctx context.Context) bool {
+	peers := l.holders()
+	req := &wire.HoldDeparturesRequest{Instance: string(l.d.instance), Departures: departuresToWire(l.d.guard.Departures(depart.MaxPerInstance))}
+	return l.callPeers(ctx, peers, func(ctx context.Context, _ member.Member, client wire.InnerClient) error {
+		_, err := client.HoldDepartures(ctx, req)
+		return err
+	})
+}
+
 // saveAgain writes the departures to a store that has come back from an older copy.
 // Until then the guard's memory keeps them binding.
 func (l *departureLog) saveAgain(ctx context.Context) {
@@ -142,15 +299,15 @@
 	l.saveLocked(ctx)
 }
 
-// saveLocked is save without its time limit. The caller holds mu.
-func (l *departureLog) saveLocked(ctx context.Context) {
+// saveLocked writes the departures to the store and reports whether that succeeded. The
+// caller holds mu.
+func (l *departureLog) saveLocked(ctx context.Context) bool {
 	err := l.write(ctx)
 	l.d.recordStoreCall("write departures", err)
-	failedBefore := l.unsaved
-	l.unsaved = err != nil
-	if err != nil && !failedBefore {
-		l.d.log.Warn("departures of local targets are not saved, a restart would forget them", "error", err)
+	if failedBefore := l.unsaved.Swap(err != nil); err != nil && !failedBefore {
+		l.d.log.Warn("departures of local targets are not in the store", "error", err)
 	}
+	return err == nil
 }
 
 // write writes the key with a new lease. If the key has another revision than expected,
@@ -176,13 +333,7 @@
 }
 
 func (l *departureLog) swap(ctx context.Context, lease store.LeaseID) (store.Revision, error) {
-	var msg wire.Departures
-	for _, d := range l.d.guard.Departures(maxStoredDepartures) {
-		msg.Departures = append(msg.Departures, &wire.Departure{
-			Target: string(d.Target), StartedAtMs: uint64(d.StartedAt), StartUnknown: d.StartUnknown, Sequence: d.Sequence,
-		})
-	}
-	value, err := proto.Marshal(&msg)
+	value, err := proto.Marshal(departuresToWire(l.d.guard.Departures(depart.MaxPerInstance)))
 	if err != nil {
 		return 0, errors.Wrap(err, "encode departures")
 	}
--- a/daemon/inner.go
+++ b/daemon/inner.go
@@ -133,6 +133,24 @@
 	return &wire.ReleaseReply{Released: uint32(s.d.guard.RefuseWaiting(ident.Instance(req.GetSenderInstance())))}, nil
 }
 
+// HoldDepartures implements wire.InnerServer.
+func (s *innerServer) HoldDepartures(_ context.Context, req *wire.HoldDeparturesRequest) (*wire.HoldDeparturesReply, error) {
+	if s.d.departures == nil || req.GetInstance() == "" {
+		return nil, status.Error(codes.FailedPrecondition, "departures are held on a platform, for a named instance")
+	}
+	s.d.departures.held.Hold(s.d.clk.Now(), ident.Instance(req.GetInstance()), departuresFromWire(req.GetDepartures()))
+	return &wire.HoldDeparturesReply{}, nil
+}
+
+// HeldDepartures implements wire.InnerServer.
+func (s *innerServer) HeldDepartures(_ context.Context, req *wire.HeldDeparturesRequest) (*wire.HeldDeparturesReply, error) {
+	if s.d.departures == nil {
+		return nil, status.Error(codes.FailedPrecondition, "departures are held on a platform")
+	}
+	held := s.d.departures.held.Held(s.d.clk.Now(), ident.Instance(req.GetInstance()))
+	return &wire.HeldDeparturesReply{Departures: departuresToWire(held)}, nil
+}
+
 // Draw implements wire.InnerServer.
 func (s *innerServer) Draw(_ context.Context, req *wire.DrawRequest) (*wire.DrawReply, error) {
 	return s.d.rateSlots.Draw(req), nil
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -47,8 +47,9 @@
 }
 
 // serveAnnouncements serves the heartbeats (PUT) and deregistrations (DELETE) of
-// the targets on this instance. It responds to a target that leaves when the departure
-// is saved, or cannot be saved in time: the response binds the next process too.
+// the targets on this instance. A target that leaves gets an acknowledgement only once its
+// departure binds the next process too. A target that is ready is not accepted before the
+// departures of the previous process are known.
 func (d *Daemon) serveAnnouncements(c *fasthttp.RequestCtx) {
 	id, ok := strings.CutPrefix(string(c.Path()), d.platform.HeartbeatPath)
 	if !ok {
@@ -63,8 +64,9 @@
 			d.refuseHeartbeat(c, err)
 			return
 		}
-		if leaving = heartbeat.Draining; !leaving {
-			d.departures.awaitLoaded()
+		if leaving = heartbeat.Draining; !leaving && !d.departures.awaitLoaded() {
+			c.Error("departures of the previous process are not known yet: repeat the heartbeat", fasthttp.StatusServiceUnavailable)
+			return
 		}
 		changed = d.guard.ApplyHeartbeat(heartbeat)
 	case fasthttp.MethodDelete:
@@ -82,7 +84,11 @@
 		d.fleet.setTargets(d.guard.Targets())
 	}
 	if changed && leaving {
-		d.departures.save(context.Background())
+		d.departures.noteRecorded()
+	}
+	if leaving && !d.departures.keep(context.Background()) {
+		c.Error("the departure takes effect here, but could not be kept for the next process: repeat it", fasthttp.StatusServiceUnavailable)
+		return
 	}
 	c.SetContentType("application/json")
 	c.SetBodyString("{}")
--- a/daemon/roster_fleet.go
+++ b/daemon/roster_fleet.go
@@ -159,6 +159,7 @@
 	change := f.list.ApplyListing(now, found, revision)
 	f.mu.Unlock()
 	f.applyChange(change)
+	f.d.departures.endListing()
 	f.d.picker.SetRetryLimits(retryBudget(f.d.liveSettings.Load().Retries, f.d.liveSettings.Load().Rates.DataCentres))
 	return nil
 }
--- a/guard/heartbeat.go
+++ b/guard/heartbeat.go
@@ -51,9 +51,9 @@
 	Sequence uint64
 }
 
-// covers reports whether a heartbeat with the given values was sent before the
+// Covers reports whether a heartbeat with the given values was sent before the
 // departure.
-func (d Departure) covers(startedAt clock.Millis, sequence uint64) bool {
+func (d Departure) Covers(startedAt clock.Millis, sequence uint64) bool {
 	return startedAt < d.StartedAt || startedAt == d.StartedAt && sequence <= d.Sequence
 }
 
@@ -114,7 +114,7 @@
 // than the last one applied, or is from a target that started before the one now
 // registered at its address. The caller holds mu.
 func (g *Guard) isStale(now clock.Millis, hb Heartbeat) bool {
-	if stone, ok := g.tombstones[hb.Spec.ID]; ok && stone.covers(hb.StartedAt, hb.Sequence) {
+	if stone, ok := g.tombstones[hb.Spec.ID]; ok && stone.Covers(hb.StartedAt, hb.Sequence) {
 		startReported := hb.StartedAt > 0 || stone.StartedAt > 0 && !stone.StartUnknown
 		return startReported || now-stone.recordedAt <= g.cfg.AnnounceTTL
 	}
@@ -162,7 +162,7 @@
 		departure.StartedAt, departure.StartUnknown = g.clk.Wall(), true
 		// The record of an earlier departure is replaced: the target may have restarted
 		// under its ID since then, with heartbeats to an earlier process of this daemon.
-		if stone, ok := g.tombstones[id]; ok && stone.covers(departure.StartedAt, allSequences) {
+		if stone, ok := g.tombstones[id]; ok && stone.Covers(departure.StartedAt, allSequences) {
 			return false
 		}
 	}
@@ -211,7 +211,7 @@
 	defer g.mu.Unlock()
 	changed := false
 	for _, d := range list {
-		if stone, ok := g.tombstones[d.Target]; !ok || d.covers(stone.StartedAt, stone.Sequence) {
+		if stone, ok := g.tombstones[d.Target]; !ok || d.Covers(stone.StartedAt, stone.Sequence) {
 			g.recordDeparture(now, d)
 		}
 		t := g.targets[d.Target]
@@ -219,7 +219,7 @@
 			continue
 		}
 		t.mu.Lock()
-		left := t.lastAnnounced > 0 && !t.draining && d.covers(t.startedAt, t.sequence)
+		left := t.lastAnnounced > 0 && !t.draining && d.Covers(t.startedAt, t.sequence)
 		if left {
 			t.setLeaving(now, true)
 		}
