guard: a status that promises "not run" needs the target's proof

Cause: a target ran the request and failed it with 503 without the header that says "not run". The guard passed such answers on as they were; 429 and 408 too.

Ruled out: passing the status on for look-ups only, since the promise is the same; replacing the status of an answer with the target's signature, which must keep its status.

Change: without the header, 408, 421, 429 and 503 become the guard's own refusal with an unknown outcome (502) and count against the target's health. Look-ups are retried as after other failures.

--- a/entry/http.go
+++ b/entry/http.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"chestnutlatch/answer"
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/guard"
@@ -211,25 +212,19 @@
 func (e *Entry) statusOf(r *fault.Refusal) int {
 	status := r.Status()
 	switch {
-	case !e.usesAttemptIDs() || status < fasthttp.StatusInternalServerError && !isNotRunStatus(status) && r.Kind != fault.Canceled:
+	case !e.usesAttemptIDs() || status < fasthttp.StatusInternalServerError && !answer.PromisesNotRun(status) && r.Kind != fault.Canceled:
 		return status
 	case r.Outcome == ident.OutcomeUnknown && r.Kind == fault.DeadlineExceeded:
 		return fasthttp.StatusGatewayTimeout
 	case r.Outcome == ident.OutcomeUnknown:
 		return fasthttp.StatusBadGateway
-	case isNotRunStatus(status):
+	case answer.PromisesNotRun(status):
 		return status
 	default:
 		return fasthttp.StatusServiceUnavailable
 	}
 }
 
-// isNotRunStatus reports whether a status below 500 means that the request has not
-// run.
-func isNotRunStatus(status int) bool {
-	return status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusRequestTimeout
-}
-
 // OnError refuses a request that could not be read because of err, and closes the
 // connection. The refusal contains no text of err.
 func (e *Entry) OnError(c *fasthttp.RequestCtx, err error) {
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"chestnutlatch/answer"
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/health"
@@ -163,7 +164,12 @@
 	}
 	latency := ident.Micros(time.Since(startedAt).Microseconds())
 	g.meter.TargetTime.UpdateDuration(startedAt)
-	sample := g.healthSample(t, err, httpResp.StatusCode(), latency)
+	status := httpResp.StatusCode()
+	if err == nil && g.promisesWithoutProof(httpResp) {
+		// It counts like the failure that the caller gets.
+		status = fasthttp.StatusBadGateway
+	}
+	sample := g.healthSample(t, err, status, latency)
 	if overdue := clock.Millis(req.GetOverdueMs()); overdue > 0 && errors.Is(err, errCanceled) && latency/microsPerMilli >= ident.Micros(overdue) {
 		sample.Result = health.ResultTimeout
 	}
@@ -213,8 +219,14 @@
 	return d.NotRun != "" && len(resp.Header.Peek(d.NotRun)) > 0 && resp.StatusCode() != fasthttp.StatusBadRequest
 }
 
-// targetRefusal returns a refusal if the answer says that the target did not run
-// the request, and nil otherwise.
+// promisesWithoutProof reports whether the caller would take the answer's status for the
+// promise that the request has not run, although the target does not say so.
+func (g *Guard) promisesWithoutProof(resp *fasthttp.Response) bool {
+	return g.cfg.Dialect.NotRun != "" && answer.PromisesNotRun(resp.StatusCode()) && !g.isShed(resp)
+}
+
+// targetRefusal returns a refusal if the answer says, or its status would wrongly say, that
+// the target did not run the request, and nil otherwise.
 func (g *Guard) targetRefusal(t *target, resp *fasthttp.Response) *fault.Refusal {
 	d := g.cfg.Dialect
 	if d.ExpectedTarget != "" && resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
@@ -222,6 +234,10 @@
 		t.setDraining(true)
 		return fault.NotRun(fault.Draining, "target %s has gone: repeat the request", t.spec.ID)
 	}
+	if g.promisesWithoutProof(resp) {
+		return fault.Unknown(fault.TargetFailed, "target %s failed the request with status %d, which does not prove that it has not run: repeat a lookup, look an action up",
+			t.spec.ID, resp.StatusCode())
+	}
 	if !g.isShed(resp) {
 		return nil
 	}
@@ -320,7 +336,7 @@
 	case before >= g.cfg.SuspectThreshold && after < g.cfg.SuspectThreshold:
 		g.log.Info("target no longer suspect", "target", t.spec.ID, "suspicion", after, "before", before, "last_id", req.GetAttempt())
 	}
-	if err != nil || status >= fasthttp.StatusInternalServerError {
+	if err != nil || s.Result == health.ResultError || status >= fasthttp.StatusInternalServerError {
 		g.log.Info("target failed a request", "id", req.GetAttempt(), "target", t.spec.ID, "status", status, "error", err,
 			"took_us", int64(s.Latency), "counts_as", s.Result.String(), "suspicion", after, "before", before)
 	}
