guard: an answer cut by a reset during an upload is not complete

Callers got a part of a body as a whole one, when a target answered a long upload early with 200 and no length and then reset the connection (reported by operators).

Cause: the request is written while the answer is read, and the system reports a reset to one of them. If the writing got it, the reading saw a regular end of the body. The error of the writing was ignored, since answers may come early.

Ruled out: refusing early answers without a length, some of which are complete; TCP_INFO, which not every system has.

Change: an answer that ends with its connection is complete only if the request was written without an error, for which the guard waits up to a second.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -52,6 +52,9 @@
 	// longBodyBytes is the size, in bytes, above which a request's body is written
 	// while the answer is read. Shorter bodies fit into the socket's buffer.
 	longBodyBytes = 4 << 10
+	// uploadEndTime is how long a target may go on reading a request after it has ended its
+	// answer by closing its side of the connection.
+	uploadEndTime = time.Second
 )
 
 // Errors of one exchange with a target.
@@ -97,6 +100,8 @@
 	// strayAnswer is true after an answer that did not belong to the request. Another
 	// one may follow, so the connection is not used again.
 	strayAnswer bool
+	// endedByClose is true if the body of the current answer ended with the connection.
+	endedByClose bool
 	// readLimit is the number of bytes that the current exchange may still read.
 	readLimit int
 	// maxBody is the maximum size of the answer's body in the current exchange.
@@ -152,7 +157,7 @@
 	c.receivedByte.Store(false)
 	c.lost.Store(false)
 	c.readLimit = maxFramingFactor*maxBody + framingBytes
-	c.bytesRead, c.maxBody, c.noMemory = 0, maxBody, false
+	c.bytesRead, c.maxBody, c.noMemory, c.endedByClose = 0, maxBody, false, false
 }
 
 // endExchange gives back the memory that the exchange has taken.
@@ -474,11 +479,16 @@
 
 // roundTripLong writes the request while it reads the answer, because the target
 // may answer before it has read a long body. If the answer arrives before the
-// whole body is written, the connection is closed.
+// whole body is written, the connection is closed. An answer that ends with its connection
+// is complete only if the body was written without an error: of a reset, either the writing
+// or the reading gets the error, and the other one may see a regular end.
 func (c *targetConn) roundTripLong(d Dialect, req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (bool, error) {
 	written := make(chan error, 1)
 	go func() { written <- c.write(req) }()
 	reusable, err := c.readAnswer(d, req, resp, maxBody)
+	if err == nil && c.endedByClose {
+		return false, c.awaitUpload(written)
+	}
 	select {
 	case writeErr := <-written:
 		return reusable && writeErr == nil, err
@@ -490,6 +500,17 @@
 	return false, err
 }
 
+// awaitUpload waits for the end of the writing of a request whose answer has ended with the
+// connection, and returns an error unless all was written.
+func (c *targetConn) awaitUpload(written <-chan error) error {
+	timer := time.AfterFunc(uploadEndTime, func() { _ = c.SetDeadline(pastDeadline) })
+	defer timer.Stop()
+	if err := <-written; err != nil {
+		return errors.Wrap(errIncomplete, "connection broke off while the request was written: "+err.Error())
+	}
+	return nil
+}
+
 func (c *targetConn) write(req *fasthttp.Request) error {
 	err := req.Write(c.w)
 	if err == nil {
@@ -582,6 +603,7 @@
 			// A body that ends with the connection may have been cut off.
 			return false, errIncomplete
 		}
+		c.endedByClose = true
 		return false, c.readUntilClose(resp, maxBody)
 	}
 	if err := resp.ReadBody(c.r, maxBody); err != nil {
