crowd, stand: answers without end from many targets' requests at once

Operators of similar systems saw a machine run out of memory on answers without end. It does not happen here: the guard bounds what it reads for one exchange and what all answers hold together. The test sends 120 requests that are answered with nine kinds of endless heads and bodies, at the target beside the daemon and at another one.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -198,6 +198,18 @@
 	})
 }
 
+// TestAnswersWithoutEnd guards against targets in trouble that send bytes without end, in a
+// head or in a body: what a process keeps of all of them together is bounded.
+func TestAnswersWithoutEnd(t *testing.T) {
+	testClients(t, settings, clients, maxCallers, func(conn net.Conn, key string, i int) {
+		// Two clients each, for the targets of both daemons.
+		kind := stand.EndlessKinds[i/2%len(stand.EndlessKinds)]
+		_, _ = fmt.Fprintf(conn, "%s%s: %s\r\nContent-Length: 0\r\n\r\n", head(key, i), stand.EndlessHeader, kind)
+		// The answer, or the end of the connection.
+		_, _ = io.Copy(io.Discard, io.LimitReader(conn, 1))
+	})
+}
+
 // TestUnfinishedHeads guards against connections that stop inside their head.
 func TestUnfinishedHeads(t *testing.T) {
 	testClients(t, openSettings(), openClients, maxOpenCallers, func(conn net.Conn, key string, i int) {
--- a/stand/target.go
+++ b/stand/target.go
@@ -251,6 +251,8 @@
 	case behavior.fails:
 		c.SetStatusCode(fasthttp.StatusInternalServerError)
 		c.SetBodyString("failed")
+	case len(c.Request.Header.Peek(EndlessHeader)) > 0:
+		t.sendEndless(c, string(c.Request.Header.Peek(EndlessHeader)))
 	case len(c.Request.Header.Peek(AnswerBytesHeader)) > 0:
 		if n, err := fasthttp.ParseUint(c.Request.Header.Peek(AnswerBytesHeader)); err == nil {
 			c.Response.SetBodyRaw(make([]byte, min(n, maxAnswerBytes)))
