daemon: a process that starts without the store learns the fleet from a neighbour

Since departures are kept at peers, a process accepts ready targets only when it knows the departures. Started while the store did not answer, and without seeds, it knew no peer to ask, and its target was not used until the store was back.

Change: a daemon that knows no other one introduces itself to the sender of a broadcast that it hears. The reply has the whole fleet. The neighbours' lists still have its address.

--- a/daemon/local_broadcast.go
+++ b/daemon/local_broadcast.go
@@ -266,6 +266,7 @@
 		role.noteBroadcast(now, from, msg.GetStoreLost())
 	}
 	bc.d.checkReportedEra(msg.GetStoreEra())
+	bc.d.roster.introduceIfAlone(msg.GetInnerAddress())
 	spends := make([]limit.AdmittedCount, 0, len(msg.GetSpends()))
 	for _, s := range msg.GetSpends() {
 		spends = append(spends, limit.AdmittedCount{
--- a/daemon/roster_fleet.go
+++ b/daemon/roster_fleet.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chestnutlatch/choose"
@@ -62,6 +63,8 @@
 	// oddKeys holds the revisions of the keys in the last listing that could not be
 	// decoded. Only run uses it.
 	oddKeys map[string]store.Revision
+	// introducing is true while introduceIfAlone calls a peer.
+	introducing atomic.Bool
 
 	// keyMu protects key and keyRemoved. It is held during the store calls that
 	// change this daemon's key.
@@ -248,6 +251,21 @@
 	return reply, nil
 }
 
+// introduceIfAlone introduces this daemon to a peer that it has heard, if it knows no other
+// daemon: it has just started, and the store may not answer for long. It does not block.
+func (f *rosterFleet) introduceIfAlone(address string) {
+	isKnown := func(*member.Member) bool { return true }
+	if address == "" || len(f.others(isKnown)) > 0 || !f.introducing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer f.introducing.Store(false)
+		if _, err := f.introduce(address); err != nil {
+			f.d.log.Debug("failed to learn the fleet from a peer", "address", address, "error", err)
+		}
+	}()
+}
+
 // addFromPeer adds a member record received from a peer, if it is valid and new.
 func (f *rosterFleet) addFromPeer(encoded []byte) {
 	m, err := member.DecodeMember(encoded)
