guard, daemon: a departure announced during a stop is kept, too

Cause: departures were kept when a heartbeat changed the target's state. A stopping daemon has drained its targets itself, so the heartbeat changes nothing.

Ruled out: keeping them at each draining heartbeat, which would cost two store calls each 1.5 s for every draining target.

Change: the guard counts the departures that targets announce, once each, and the daemon acknowledges only up to the count that is kept.

--- a/daemon/departure_log.go
+++ b/daemon/departure_log.go
@@ -52,9 +52,8 @@
 	listed     chan struct{}
 	endListing func()
 
-	// recorded counts the changes of the guard's departures, and kept is the highest count
-	// whose departures bind the next process.
-	recorded, kept atomic.Uint64
+	// kept is the highest count of the guard's departures that bind the next process.
+	kept atomic.Uint64
 
 	// mu is held during the store calls.
 	mu sync.Mutex
@@ -235,14 +234,11 @@
 	return msg
 }
 
-// noteRecorded records that the guard has a new departure, which binds this process only.
-func (l *departureLog) noteRecorded() { l.recorded.Add(1) }
-
 // keep makes the guard's departures bind the next process, and reports whether they do: they
 // are in the store, or enough peers hold them. It returns after departureSaveTimeout at the
 // latest.
 func (l *departureLog) keep(ctx context.Context) bool {
-	count := l.recorded.Load()
+	count := l.d.guard.DepartureCount()
 	if l.kept.Load() >= count {
 		return true
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -83,9 +83,6 @@
 	if changed {
 		d.fleet.setTargets(d.guard.Targets())
 	}
-	if changed && leaving {
-		d.departures.noteRecorded()
-	}
 	if leaving && !d.departures.keep(context.Background()) {
 		c.Error("the departure takes effect here, but could not be kept for the next process: repeat it", fasthttp.StatusServiceUnavailable)
 		return
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -123,7 +123,9 @@
 	mu         sync.RWMutex
 	targets    map[ident.Target]*target
 	tombstones map[ident.Target]tombstone
-	draining   bool
+	// departureCount is the result of DepartureCount.
+	departureCount uint64
+	draining       bool
 	// lastLeftAt is when the last target that was removed while it drained started to
 	// drain, in milliseconds; 0 if none was since the last heartbeat of a target that
 	// does not drain.
--- a/guard/heartbeat.go
+++ b/guard/heartbeat.go
@@ -90,6 +90,7 @@
 	}
 	t.mu.Lock()
 	t.startedAt, t.sequence, t.lastAnnounced = hb.StartedAt, hb.Sequence, max(now, 1)
+	leaves := hb.Draining && t.leavingSince == 0
 	drain := hb.Draining || g.draining
 	t.setLeaving(now, hb.Draining)
 	if !hb.Draining {
@@ -104,6 +105,9 @@
 	if hb.Draining {
 		g.recordDeparture(now, Departure{Target: hb.Spec.ID, StartedAt: hb.StartedAt, Sequence: hb.Sequence})
 	}
+	if leaves {
+		g.departureCount++
+	}
 	if changed {
 		g.log.Info("target heard", "target", hb.Spec.ID, "service", hb.Spec.Service, "draining", drain, "born", int64(hb.StartedAt))
 	}
@@ -167,6 +171,7 @@
 		}
 	}
 	g.recordDeparture(now, departure)
+	g.departureCount++
 	g.log.Info("target leaves", "target", id, "known", !departure.StartUnknown)
 	return true
 }
@@ -186,6 +191,14 @@
 
 func compareAge(a, b tombstone) int { return cmp.Compare(a.recordedAt, b.recordedAt) }
 
+// DepartureCount returns how many departures the local targets have announced to this
+// process. It does not count that a draining target repeats that it drains.
+func (g *Guard) DepartureCount() uint64 {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.departureCount
+}
+
 // Departures returns the departures of the last tombstoneTTL, the newest first and at
 // most n of them.
 func (g *Guard) Departures(n int) []Departure {
