daemon, fleet: tests wait until each daemon knows the holders of the rate slots

The fixture waited until all slots were held, each by its holder's own account, and not until the others had heard of it.

The status of a daemon has rate_slots_known now, for which the fixture waits.

--- a/daemon/members.go
+++ b/daemon/members.go
@@ -346,6 +346,13 @@
 	return h.instance, r.InnerAddress, true
 }
 
+// knownSlots returns the number of rate slots whose holder is known here.
+func (m *members) knownSlots() int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return len(m.holders)
+}
+
 // slotDistance ranks the holder of a rate slot by distance: 0 is this daemon,
 // 1 its data centre, 2 its region, farthestRank any other or unknown holder.
 func (m *members) slotDistance(s limit.Slot) int {
--- a/daemon/operator_server.go
+++ b/daemon/operator_server.go
@@ -20,7 +20,9 @@
 	Skipped     int               `json:"skipped_records"`
 	Members     []MemberStatus    `json:"members"`
 	RateSlots   int               `json:"rate_slots_held"`
-	TicketsOpen int               `json:"tickets_open"`
+	// RateSlotsKnown is the number of slots whose holder this daemon knows.
+	RateSlotsKnown int `json:"rate_slots_known"`
+	TicketsOpen    int `json:"tickets_open"`
 	// EvacuatedDataCentres is empty if none is evacuated.
 	EvacuatedDataCentres []ident.DataCentre `json:"evacuated_data_centres,omitempty"`
 	Bodies               BodyStatus         `json:"bodies"`
@@ -148,7 +150,7 @@
 	result := Status{
 		Instance: d.instance, Incarnation: d.incarnation, Revision: d.table.Revision(),
 		Records: d.table.Counts(), Skipped: d.table.Skipped(),
-		RateSlots: d.rateSlots.heldCount(), TicketsOpen: open, EvacuatedDataCentres: d.evacuations.evacuated(), Bodies: d.bodyStatus(),
+		RateSlots: d.rateSlots.heldCount(), RateSlotsKnown: d.members.knownSlots(), TicketsOpen: open, EvacuatedDataCentres: d.evacuations.evacuated(), Bodies: d.bodyStatus(),
 	}
 	now := d.clk.Now()
 	for _, m := range d.fleet.allMembers() {
--- a/fleet/wait.go
+++ b/fleet/wait.go
@@ -93,8 +93,9 @@
 	return targets >= len(f.Targets)
 }
 
-// WaitSlots waits until the daemons together hold all rate slots. It returns an error
-// after readyTimeout. On a platform it returns nil at once.
+// WaitSlots waits until the daemons together hold all rate slots and each of them knows the
+// holders, which it hears after they have claimed the slots. It returns an error after
+// readyTimeout. On a platform it returns nil at once.
 func (f *Fleet) WaitSlots() error {
 	if f.spec.Adapter != "" {
 		// On a platform the daemons use no rate slots.
@@ -102,19 +103,21 @@
 	}
 	deadline := time.Now().Add(readyTimeout)
 	for {
-		held := 0
+		held, known := 0, f.spec.RateSlots
 		for _, d := range f.Daemons {
 			var s struct {
-				Held int `json:"rate_slots_held"`
+				Held  int `json:"rate_slots_held"`
+				Known int `json:"rate_slots_known"`
 			}
 			_, _ = GetJSON(d.Control, "/v1/status", &s)
 			held += s.Held
+			known = min(known, s.Known)
 		}
-		if held >= f.spec.RateSlots {
+		if held >= f.spec.RateSlots && known >= f.spec.RateSlots {
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return errors.Errorf("only %d of %d rate slots are held by a daemon", held, f.spec.RateSlots)
+			return errors.Errorf("of %d rate slots, %d are held by a daemon, and one daemon knows the holders of %d", f.spec.RateSlots, held, known)
 		}
 		time.Sleep(pollInterval)
 	}
