--- a/review/tool-3/rig.go
+++ b/review/tool-3/rig.go
@@ -154,7 +154,6 @@
 	// storeAt is the address of the store in the settings.
 	storeAt string
 	config  string
-	logs    *os.File
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -257,31 +256,6 @@
 	}
 }
 
-// isRunning reports whether the daemon's process lives.
-func (m *machine) isRunning() bool {
-	select {
-	case <-m.done:
-		return false
-	default:
-		return true
-	}
-}
-
-// memory returns a figure of /proc/PID/status in MB.
-func (m *machine) memory(field string) int {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.cmd.Process.Pid))
-	if err != nil {
-		return -1
-	}
-	for _, line := range strings.Split(string(raw), "\n") {
-		if strings.HasPrefix(line, field+":") {
-			kb, _ := strconv.Atoi(strings.Fields(line)[1])
-			return kb / 1024
-		}
-	}
-	return -1
-}
-
 // awaitReady waits until all daemons answer the platform's readiness question.
 func (r *rig) awaitReady() {
 	for end := time.Now().Add(15 * time.Second); ; time.Sleep(100 * time.Millisecond) {
