peers: a silent connection between daemons is replaced

Cause: all calls to a peer share one connection, and nothing replaced it. The check of a call noticed the silence and marked the path as failed, and the probes of that path went over the same connection. So did every other call to the peer. Only a one-time request closed it, which is a fault of its own.

Ruled out: the library's keep-alive (10 s at the shortest, and a timeout ends all calls on the connection); TCP keep-alive probes (a proxy on the way answers them, and they end a connection whose bytes are only held up by a cut); closing the connection after a failed check (a cut or a frozen peer looks the same, and the other calls are lost with it).

Change: the pool decides, for every call alike. A call that times out on a connection on which nothing has arrived since the call began starts one check, a ping over a new connection. If the peer answers there and the old connection is still silent, the new one takes its place. Running calls stay on the old one, which is closed after them.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -168,7 +168,7 @@
 		table:       table.New(),
 		picker:      choose.New(cfg.DataCentre, cfg.Region, seed),
 		allocator:   limit.NewAllocator(cfg.RateSlots),
-		peers:       peers.New(creds, cfg.FleetSecret),
+		peers:       peers.New(creds, cfg.FleetSecret, clk, log.Named("peers")),
 		pool:        pool,
 		peerStats:   newPeerStats(),
 		memory:      newAccount(cfg),
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -12,6 +12,7 @@
 	d.meter.Gauge("chestnutlatch_rate_slots_held", func() float64 { return float64(d.rateSlots.heldCount()) })
 	d.meter.Gauge("chestnutlatch_suspect_targets", func() float64 { return float64(d.guard.SuspectCount(d.clk.Now())) })
 	d.meter.Gauge("chestnutlatch_bad_paths", func() float64 { return float64(d.picker.UnreachablePathCount(d.clk.Now())) })
+	d.meter.Gauge("chestnutlatch_peer_connections_replaced", func() float64 { return float64(d.peers.Replaced()) })
 	d.meter.Gauge("chestnutlatch_evacuated_data_centres", func() float64 { return float64(len(d.evacuations.evacuated())) })
 	d.meter.Gauge("chestnutlatch_retries_left", func() float64 { return d.picker.RetriesLeft() })
 	for kind, bytes := range map[string]func(BodyStatus) int64{
--- a/daemon/inner_tls_test.go
+++ b/daemon/inner_tls_test.go
@@ -15,12 +15,14 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
+	"chestnutlatch/clock"
 	"chestnutlatch/peers"
 	"chestnutlatch/setup"
 	"chestnutlatch/table"
@@ -114,7 +116,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			pool := peers.New(tt.creds, tt.secret)
+			pool := peers.New(tt.creds, tt.secret, clock.NewSystem(), hclog.NewNullLogger())
 			defer pool.Close()
 			client, err := pool.Get(l.Addr().String())
 			if err != nil {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -113,7 +113,7 @@
 	s.Entry = New(Deps{
 		Instance: "i", Incarnation: 1, Clock: clk, Log: hclog.NewNullLogger(), Meter: counts, Table: testTable(t),
 		Picker: picker, TokenCache: limit.NewTokenCache(3, func(limit.Slot) int { return 0 }), Guard: g,
-		Peers: peers.New(insecure.NewCredentials(), "secret"), Fleet: s.fleet, Drawer: s.fleet, Pool: pool, MaxBody: 1000, Costs: choose.DefaultCosts(),
+		Peers: peers.New(insecure.NewCredentials(), "secret", clk, hclog.NewNullLogger()), Fleet: s.fleet, Drawer: s.fleet, Pool: pool, MaxBody: 1000, Costs: choose.DefaultCosts(),
 		ColdLimit: func(ident.Service) int { return int(s.fleet.coldRate.Load()) },
 	})
 	return s
--- a/peers/body_test.go
+++ b/peers/body_test.go
@@ -7,11 +7,13 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
+	"chestnutlatch/clock"
 	"chestnutlatch/memory"
 	"chestnutlatch/wire"
 )
@@ -56,7 +58,7 @@
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(srv.Stop)
 	call := func(secret string, size int) error {
-		pool := New(insecure.NewCredentials(), secret)
+		pool := New(insecure.NewCredentials(), secret, clock.NewSystem(), hclog.NewNullLogger())
 		defer pool.Close()
 		client, err := pool.Get(l.Addr().String())
 		if err != nil {
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -8,9 +8,11 @@
 	"context"
 	"crypto/subtle"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
@@ -18,6 +20,7 @@
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
+	"chestnutlatch/clock"
 	"chestnutlatch/wire"
 )
 
@@ -40,89 +43,143 @@
 	MinConnectTimeout: time.Second,
 }
 
-// Pool holds one gRPC connection per address. It is safe for concurrent use.
+// errPoolClosed is the error of a call after Close.
+var errPoolClosed = errors.New("connections to peers are closed")
+
+// Pool holds one gRPC connection per address, and replaces those that have gone silent. It
+// is safe for concurrent use.
 type Pool struct {
 	creds  credentials.TransportCredentials
 	secret string
-
-	mu    sync.RWMutex
-	conns map[string]*grpc.ClientConn
+	clk    clock.Clock
+	log    hclog.Logger
+	// replaced counts the silent connections that were replaced.
+	replaced atomic.Int64
+
+	mu     sync.RWMutex
+	conns  map[string]*conn
+	closed bool
 }
 
 // New returns an empty pool. Its clients send secret with every call.
-func New(creds credentials.TransportCredentials, secret string) *Pool {
-	return &Pool{creds: creds, secret: secret, conns: map[string]*grpc.ClientConn{}}
+func New(creds credentials.TransportCredentials, secret string, clk clock.Clock, log hclog.Logger) *Pool {
+	return &Pool{creds: creds, secret: secret, clk: clk, log: log, conns: map[string]*conn{}}
 }
 
 // Get returns a client for an address (ip:port). It creates the connection if
-// there is none; the connection is opened by the first call.
+// there is none; the connection is opened by the first call. While a call runs, further
+// calls of the client use the same connection.
 func (p *Pool) Get(address string) (wire.InnerClient, error) {
+	c, err := p.get(address)
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewInnerClient(c), nil
+}
+
+func (p *Pool) get(address string) (*conn, error) {
 	p.mu.RLock()
-	conn := p.conns[address]
+	c := p.conns[address]
 	p.mu.RUnlock()
-	if conn != nil {
-		return wire.NewInnerClient(conn), nil
+	if c != nil {
+		return c, nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if conn = p.conns[address]; conn != nil {
-		return wire.NewInnerClient(conn), nil
+	if c = p.conns[address]; c != nil {
+		return c, nil
+	}
+	if p.closed {
+		return nil, errPoolClosed
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
+	c, err := p.open(address)
+	if err != nil {
+		return nil, err
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+// open returns a new connection that is not in the pool.
+func (p *Pool) open(address string) (*conn, error) {
+	c := &conn{pool: p, address: address}
+	cc, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(p.creds),
+		grpc.WithContextDialer(c.dial),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithConnectParams(connectParams),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
-		grpc.WithUnaryInterceptor(p.addUnarySecret),
-		grpc.WithStreamInterceptor(p.addStreamSecret),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 	)
 	if err != nil {
 		return nil, errors.Wrapf(err, "inner address %q: give it as ip:port", address)
 	}
-	p.conns[address] = conn
-	return wire.NewInnerClient(conn), nil
+	c.cc = cc
+	return c, nil
+}
+
+// acquire counts a call on a connection, or on the present one to the same address if the
+// connection is closed by now. The caller ends the call with conn.end.
+func (p *Pool) acquire(c *conn) (*conn, error) {
+	for !c.begin() {
+		next, err := p.get(c.address)
+		if err != nil {
+			return nil, err
+		}
+		c = next
+	}
+	return c, nil
 }
 
+// has reports whether new calls to an address use a connection.
+func (p *Pool) has(c *conn) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.conns[c.address] == c
+}
+
+// replace puts a new connection in the place of an old one. It returns false if the old one
+// is not in the pool any more.
+func (p *Pool) replace(old, next *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.conns[old.address] != old {
+		return false
+	}
+	p.conns[old.address] = next
+	p.replaced.Add(1)
+	return true
+}
+
+// Replaced returns the number of silent connections that were replaced.
+func (p *Pool) Replaced() int64 { return p.replaced.Load() }
+
 // Remove closes the connection to an address and removes it from the pool. It
 // does nothing if there is no connection to that address.
 func (p *Pool) Remove(address string) {
 	p.mu.Lock()
-	conn := p.conns[address]
+	c := p.conns[address]
 	delete(p.conns, address)
 	p.mu.Unlock()
-	if conn != nil {
-		go func() { _ = conn.Close() }()
+	if c != nil {
+		c.retire()
+		c.close()
 	}
 }
 
-// Close closes all connections and empties the pool. It does not wait for that: closing
-// blocks for seconds if the peer does not read.
+// Close closes all connections, also those with running calls, and empties the pool. It
+// does not wait for that.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	conns := p.conns
-	p.conns = map[string]*grpc.ClientConn{}
+	p.conns, p.closed = map[string]*conn{}, true
 	p.mu.Unlock()
-	for _, conn := range conns {
-		go func() { _ = conn.Close() }()
+	for _, c := range conns {
+		c.close()
 	}
 }
 
-// addUnarySecret adds the fleet secret to the metadata of a unary call.
-func (p *Pool) addUnarySecret(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn,
-	invoke grpc.UnaryInvoker, opts ...grpc.CallOption,
-) error {
-	return invoke(metadata.AppendToOutgoingContext(ctx, secretHeader, p.secret), method, req, reply, cc, opts...)
-}
-
-// addStreamSecret adds the fleet secret to the metadata of a streaming call.
-func (p *Pool) addStreamSecret(ctx context.Context, desc *grpc.StreamDesc, cc *grpc.ClientConn, method string,
-	open grpc.Streamer, opts ...grpc.CallOption,
-) (grpc.ClientStream, error) {
-	return open(metadata.AppendToOutgoingContext(ctx, secretHeader, p.secret), desc, cc, method, opts...)
-}
-
 // ServerOptions returns the gRPC options for a daemon's inner server. The server
 // rejects calls without the right secret with codes.Unauthenticated.
 func ServerOptions(creds credentials.TransportCredentials, secret string) []grpc.ServerOption {
