entry, peers: one lost answer does not end the other calls to a daemon

Cause: a one-time request that has lost its answer asks for it every 150 ms, and closed the connection to that daemon before each question. All calls share that connection. The lookups on it failed, and the other one-time requests lost their answers in turn and closed the next one.

Ruled out: a failure of the path or the targets (the checks were answered); closing once for each lost answer (still several times a second under load).

Change: the call leaves the connection alone. The same cause on a related path: the connection to a daemon that leaves the list, as it does while it finishes its requests in a planned stop, was closed with the calls on it; it is closed after them now.

TestLostAnswerDoesNotEndOtherCalls and TestRemovedConnectionServesItsCalls fail with "the client connection is closing".

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -371,7 +371,6 @@
 	}
 	r.out.VoidOnly = true
 	for ctx.Err() == nil {
-		e.Peers.Remove(c.Address)
 		reply, err := e.client.call(ctx, c.Instance, c.Address, r.out)
 		if err == nil {
 			return reply, nil
--- a/entry/peer_path_test.go
+++ b/entry/peer_path_test.go
@@ -23,6 +23,7 @@
 	"chestnutlatch/ident"
 	"chestnutlatch/limit"
 	"chestnutlatch/peers"
+	"chestnutlatch/record"
 	"chestnutlatch/wire"
 )
 
@@ -245,3 +246,64 @@
 func (f *remoteFleet) Locate(ident.Instance) (string, ident.Incarnation, bool) {
 	return f.address, 1, true
 }
+
+// busyDaemon holds lookups until released is closed, and fails the first questions for the
+// answer of a one-time request.
+type busyDaemon struct {
+	wire.UnimplementedInnerServer
+
+	lookups  chan struct{}
+	released chan struct{}
+	// failures is the number of questions that still fail.
+	failures atomic.Int64
+}
+
+// Ping implements wire.InnerServer.
+func (*busyDaemon) Ping(context.Context, *wire.PingRequest) (*wire.PingReply, error) {
+	return &wire.PingReply{}, nil
+}
+
+// Forward implements wire.InnerServer.
+func (d *busyDaemon) Forward(_ context.Context, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	if !req.GetVoidOnly() {
+		d.lookups <- struct{}{}
+		<-d.released
+	} else if d.failures.Add(-1) >= 0 {
+		return nil, status.Error(codes.Unavailable, "unreachable")
+	}
+	return &wire.ForwardReply{Sequence: req.GetSequence(), SenderIncarnation: req.GetSenderIncarnation()}, nil
+}
+
+// TestLostAnswerDoesNotEndOtherCalls guards against a one-time request that asks for its lost
+// answer and each time closes the connection that all calls to the daemon share: the lookups
+// there fail, and the other one-time requests lose their answers in turn.
+func TestLostAnswerDoesNotEndOtherCalls(t *testing.T) {
+	d := &busyDaemon{lookups: make(chan struct{}, 1), released: make(chan struct{})}
+	d.failures.Store(3)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := grpc.NewServer()
+	wire.RegisterInnerServer(srv, d)
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(srv.Stop)
+	address := l.Addr().String()
+	s := newTestEntry(t, [2]string{okAnswer, okAnswer})
+	s.client.fleet = &remoteFleet{address: address}
+	lookup := make(chan error, 1)
+	go func() {
+		_, err := s.client.call(context.Background(), "remote", address, &wire.ForwardRequest{})
+		lookup <- err
+	}()
+	<-d.lookups
+	r := &request{route: record.Route{OneTime: true}, out: &wire.ForwardRequest{Attempt: "a"}}
+	c := choose.Candidate{Instance: "remote", Address: address}
+	if _, err := s.recoverAnswer(context.Background(), r, c, errPeerUnresponsive); err != nil {
+		t.Errorf("the lost answer was not recovered: %v", err)
+	}
+	close(d.released)
+	if err := <-lookup; err != nil {
+		t.Errorf("the lookup failed: %v", err)
+	}
+}
--- a/peers/conn_test.go
+++ b/peers/conn_test.go
@@ -142,3 +142,23 @@
 		t.Errorf("%d connections were opened for 20 calls that timed out", n)
 	}
 }
+
+// TestRemovedConnectionServesItsCalls guards against running requests that are lost when their
+// peer leaves the list of daemons, as it does while it finishes them in a planned stop.
+func TestRemovedConnectionServesItsCalls(t *testing.T) {
+	s, proxy, pool := newPeer(t)
+	result := startForward(t, s, pool, proxy.Address())
+	pool.Remove(proxy.Address())
+	awaitPing(t, pool, proxy.Address())
+	close(s.released)
+	if err := <-result; err != nil {
+		t.Errorf("the running request failed: %v", err)
+	}
+	for range 5000 {
+		if proxy.Open() == 1 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Errorf("%d connections are open, want the new one only", proxy.Open())
+}
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -155,8 +155,8 @@
 // Replaced returns the number of silent connections that were replaced.
 func (p *Pool) Replaced() int64 { return p.replaced.Load() }
 
-// Remove closes the connection to an address and removes it from the pool. It
-// does nothing if there is no connection to that address.
+// Remove removes the connection to an address from the pool and closes it when its calls
+// have ended. It does nothing if there is no connection to that address.
 func (p *Pool) Remove(address string) {
 	p.mu.Lock()
 	c := p.conns[address]
@@ -164,7 +164,6 @@
 	p.mu.Unlock()
 	if c != nil {
 		c.retire()
-		c.close()
 	}
 }
 
