daemon, wire: a departure is acknowledged only when the store has it

Cause: a departure was acknowledged once two of three peers held it in memory, which does not outlive the end of all processes. The new processes of the peers answered that they held nothing, and that counted as knowledge.

Ruled out: more copies in memory; trusting a target after a start only from its second heartbeat, sent to an address named in the first answer (needs no store, but each start of all processes serves 1.5 s later). During an outage of the store no acknowledgement is owed: targets repeat, and end without one.

Change: the store has the departure before it is acknowledged. A daemon that cannot write it in 0.2 s asks the peers that hold its departures to do so, so one that alone is cut off from the store still acknowledges. Otherwise it answers 503, and the target gets no requests all the same. Answers of peers about held departures count only if they have read the store since their start; they learn the departures of other instances from their first listing.

--- a/daemon/departure_log.go
+++ b/daemon/departure_log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,9 +26,14 @@
 	// departureLease is how long the key lives after its last write. Late heartbeats
 	// arrive within seconds, and a process is restarted within seconds.
 	departureLease = 2 * clock.Minute
-	// departureSaveTimeout limits how long an acknowledgement waits for the store. A
+	// departureSaveTimeout limits how long an acknowledgement waits for the store, and
+	// departureOwnSaveTime how much of that this daemon tries alone before it asks peers. A
 	// target waits for one second.
-	departureSaveTimeout = 400 * time.Millisecond
+	departureSaveTimeout = 600 * time.Millisecond
+	departureOwnSaveTime = 200 * time.Millisecond
+	// departurePeerSaveTime is how long one peer may take for that before the next one is
+	// asked.
+	departurePeerSaveTime = 200 * time.Millisecond
 	// departureLoadWait is how long a heartbeat waits for the departures of the previous
 	// process, and how long that process's peers are asked for them once the store has been
 	// read.
@@ -52,6 +58,9 @@
 	listed     chan struct{}
 	endListing func()
 
+	// saveAttempts counts the calls of saveThroughPeers.
+	saveAttempts atomic.Uint32
+
 	// kept is the highest count of the guard's departures that bind the next process.
 	kept atomic.Uint64
 
@@ -85,8 +94,10 @@
 
 // load asks the peers that may hold departures of the previous process for them. They are
 // known when enough of the peers have answered and the list of peers no longer grows, as it
-// does while this daemon learns it without the store. Once the store has been read, which
-// usually has the departures too, load stops after departureLoadWait.
+// does while this daemon learns it without the store. Peers that have not read the store
+// since their start do not count: if all processes ended at once, only the store knows.
+// Once the store has been read, which has all departures that were acknowledged, load stops
+// after departureLoadWait.
 func (l *departureLog) load(ctx context.Context) {
 	defer close(l.loaded)
 	var answered sync.Map
@@ -127,11 +138,18 @@
 			l.apply(list, "peer", string(m.Instance))
 			l.unsaved.Store(true)
 		}
+		if reply.GetIncomplete() && !isClosed(l.listed) {
+			return errIncompleteDepartures
+		}
 		answered.Store(m.Instance, true)
 		return nil
 	})
 }
 
+// errIncompleteDepartures reports a peer that may not know all departures, because it has
+// not read the store since its start.
+var errIncompleteDepartures = errors.New("peer has not read the store since its start")
+
 // callPeers calls peers side by side, each for at most peerCallTimeout, and reports whether
 // enough of them have replied. It does not wait for the others then.
 func (l *departureLog) callPeers(ctx context.Context, peers []member.Member, call func(context.Context, member.Member, wire.InnerClient) error) bool {
@@ -182,13 +200,19 @@
 	return isClosed(l.loaded)
 }
 
-// applyListing applies the first listing of daemons that was read without staleness.
+// applyListing applies the first listing of daemons that was read without staleness: this
+// instance's departures, and those of others, which their next processes may ask for.
 func (l *departureLog) applyListing(entries []store.Entry) {
 	for _, e := range entries {
-		if e.Key == l.key() {
+		of, ok := strings.CutPrefix(e.Key, DeparturesPrefix)
+		switch {
+		case !ok:
+		case of == string(l.d.instance):
 			l.mu.Lock()
 			l.applyEntry(e)
 			l.mu.Unlock()
+		default:
+			l.held.Hold(l.d.clk.Now(), ident.Instance(of), l.decode(e))
 		}
 	}
 }
@@ -198,12 +222,19 @@
 // applyEntry applies the departures in the key. The caller holds mu.
 func (l *departureLog) applyEntry(e store.Entry) {
 	l.revision = max(l.revision, e.Revision)
+	if list := l.decode(e); len(list) > 0 {
+		l.apply(list, "key_revision", uint64(e.Revision))
+	}
+}
+
+// decode returns the departures in a key, and none if it cannot be decoded.
+func (l *departureLog) decode(e store.Entry) []guard.Departure {
 	var msg wire.Departures
 	if err := proto.Unmarshal(e.Value, &msg); err != nil {
-		l.d.log.Warn("departures of local targets cannot be decoded: ignoring them", "key", e.Key, "error", err)
-		return
+		l.d.log.Warn("departures in the store cannot be decoded: ignoring them", "key", e.Key, "error", err)
+		return nil
 	}
-	l.apply(departuresFromWire(&msg), "key_revision", uint64(e.Revision))
+	return departuresFromWire(&msg)
 }
 
 // apply applies departures of the previous process. source is logged.
@@ -234,9 +265,10 @@
 	return msg
 }
 
-// keep makes the guard's departures bind the next process, and reports whether they do: they
-// are in the store, or enough peers hold them. It returns after departureSaveTimeout at the
-// latest.
+// keep makes the guard's departures bind the next process, and reports whether they do: the
+// store has them, written by this daemon or by a peer. The memory of peers is not enough,
+// because all processes may end at once. Peers hold them besides, for a next process that
+// starts without the store. keep returns after departureSaveTimeout at the latest.
 func (l *departureLog) keep(ctx context.Context) bool {
 	count := l.d.guard.DepartureCount()
 	if l.kept.Load() >= count {
@@ -244,25 +276,41 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, departureSaveTimeout)
 	defer cancel()
-	results := make(chan bool, 2)
+	held := make(chan struct{})
+	go func() {
+		defer close(held)
+		l.holdAtPeers(ctx)
+	}()
+	if !l.saveInTime(count) && !l.saveThroughPeers(ctx) && l.kept.Load() < count {
+		l.d.log.Warn("departure is not acknowledged: the store does not have it")
+		return false
+	}
+	storeMax(&l.kept, count)
+	select {
+	case <-held:
+	case <-ctx.Done():
+	}
+	return true
+}
+
+// saveInTime reports whether this daemon has written the departures up to a count to the
+// store within departureOwnSaveTime. A slower write goes on, and the repeated announcement of
+// the target finds its result.
+func (l *departureLog) saveInTime(count uint64) bool {
+	result := make(chan bool, 1)
 	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		results <- l.saveLocked(ctx)
+		result <- l.kept.Load() >= count || l.saveLocked(ctx)
 	}()
-	go func() { results <- l.holdAtPeers(ctx) }()
-	for range cap(results) {
-		select {
-		case isKept := <-results:
-			if isKept {
-				storeMax(&l.kept, count)
-				return true
-			}
-		case <-ctx.Done():
-		}
+	select {
+	case isSaved := <-result:
+		return isSaved
+	case <-time.After(departureOwnSaveTime):
+		return false
 	}
-	l.d.log.Warn("departure is not acknowledged: neither the store nor peers have kept it")
-	return false
 }
 
 // storeMax stores n if it is higher than the present value.
@@ -272,16 +320,91 @@
 	}
 }
 
-// holdAtPeers reports whether enough peers hold the departures of this instance.
-func (l *departureLog) holdAtPeers(ctx context.Context) bool {
-	peers := l.holders()
-	req := &wire.HoldDeparturesRequest{Instance: string(l.d.instance), Departures: departuresToWire(l.d.guard.Departures(depart.MaxPerInstance))}
-	return l.callPeers(ctx, peers, func(ctx context.Context, _ member.Member, client wire.InnerClient) error {
+// holdAtPeers sends the departures of this instance to the peers that hold them.
+func (l *departureLog) holdAtPeers(ctx context.Context) {
+	req := l.holdRequest()
+	l.callPeers(ctx, l.holders(), func(ctx context.Context, _ member.Member, client wire.InnerClient) error {
 		_, err := client.HoldDepartures(ctx, req)
 		return err
 	})
 }
 
+func (l *departureLog) holdRequest() *wire.HoldDeparturesRequest {
+	return &wire.HoldDeparturesRequest{Instance: string(l.d.instance), Departures: departuresToWire(l.d.guard.Departures(depart.MaxPerInstance))}
+}
+
+// saveThroughPeers asks one after the other of the peers that hold the departures of this
+// instance to write them to the store, and reports whether one of them has. Each call begins
+// with another peer, so that one that does not answer does not hold up all of them.
+func (l *departureLog) saveThroughPeers(ctx context.Context) bool {
+	req := l.holdRequest()
+	req.Save = true
+	peers := l.holders()
+	first := int(l.saveAttempts.Add(1))
+	for i := range peers {
+		if l.saveThrough(ctx, peers[(first+i)%len(peers)], req) {
+			return true
+		}
+	}
+	return false
+}
+
+// saveThrough reports whether a peer has written the departures to the store within
+// departurePeerSaveTime.
+func (l *departureLog) saveThrough(ctx context.Context, m member.Member, req *wire.HoldDeparturesRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, departurePeerSaveTime)
+	defer cancel()
+	client, err := l.d.peers.Get(m.InnerAddress)
+	if err != nil {
+		l.d.log.Error("cannot ask a peer to save departures", "member", m.Instance, "error", err)
+		return false
+	}
+	reply, err := client.HoldDepartures(ctx, req)
+	if err != nil {
+		l.d.log.Debug("call about departures failed", "member", m.Instance, "error", err)
+	}
+	return reply.GetSaved()
+}
+
+// saveFor writes the departures that are held of another instance to the store, together
+// with those that its key has already, and reports whether that succeeded. It tries only
+// while this daemon has the store.
+func (l *departureLog) saveFor(ctx context.Context, of ident.Instance) bool {
+	if l.d.isStoreLost() {
+		return false
+	}
+	err := l.writeFor(ctx, of)
+	if _, isConflict := conflict(err); isConflict {
+		err = l.writeFor(ctx, of)
+	}
+	if ctx.Err() == nil {
+		// A call that the peer's time limit has ended says nothing about the store.
+		l.d.recordStoreCall("write departures of a peer", err)
+	}
+	return err == nil
+}
+
+func (l *departureLog) writeFor(ctx context.Context, of ident.Instance) error {
+	key := DeparturesPrefix + string(of)
+	e, err := l.d.store.Get(ctx, key)
+	switch {
+	case err == nil:
+		l.held.Hold(l.d.clk.Now(), of, l.decode(e))
+	case !store.IsNotFound(err):
+		return err
+	}
+	lease, err := l.d.store.Grant(ctx, uint32(departureLease))
+	if err != nil {
+		return err
+	}
+	value, err := proto.Marshal(departuresToWire(l.held.Held(l.d.clk.Now(), of)))
+	if err != nil {
+		return errors.Wrap(err, "encode departures")
+	}
+	_, err = l.d.store.Swap(ctx, key, e.Revision, value, lease)
+	return err
+}
+
 // saveAgain writes the departures to a store that has come back from an older copy.
 // Until then the guard's memory keeps them binding.
 func (l *departureLog) saveAgain(ctx context.Context) {
@@ -298,7 +421,11 @@
 // saveLocked writes the departures to the store and reports whether that succeeded. The
 // caller holds mu.
 func (l *departureLog) saveLocked(ctx context.Context) bool {
+	count := l.d.guard.DepartureCount()
 	err := l.write(ctx)
+	if err == nil {
+		storeMax(&l.kept, count)
+	}
 	l.d.recordStoreCall("write departures", err)
 	if failedBefore := l.unsaved.Swap(err != nil); err != nil && !failedBefore {
 		l.d.log.Warn("departures of local targets are not in the store", "error", err)
--- a/daemon/inner.go
+++ b/daemon/inner.go
@@ -134,12 +134,13 @@
 }
 
 // HoldDepartures implements wire.InnerServer.
-func (s *innerServer) HoldDepartures(_ context.Context, req *wire.HoldDeparturesRequest) (*wire.HoldDeparturesReply, error) {
+func (s *innerServer) HoldDepartures(ctx context.Context, req *wire.HoldDeparturesRequest) (*wire.HoldDeparturesReply, error) {
 	if s.d.departures == nil || req.GetInstance() == "" {
 		return nil, status.Error(codes.FailedPrecondition, "departures are held on a platform, for a named instance")
 	}
-	s.d.departures.held.Hold(s.d.clk.Now(), ident.Instance(req.GetInstance()), departuresFromWire(req.GetDepartures()))
-	return &wire.HoldDeparturesReply{}, nil
+	of := ident.Instance(req.GetInstance())
+	s.d.departures.held.Hold(s.d.clk.Now(), of, departuresFromWire(req.GetDepartures()))
+	return &wire.HoldDeparturesReply{Saved: req.GetSave() && s.d.departures.saveFor(ctx, of)}, nil
 }
 
 // HeldDepartures implements wire.InnerServer.
@@ -148,7 +149,7 @@
 		return nil, status.Error(codes.FailedPrecondition, "departures are held on a platform")
 	}
 	held := s.d.departures.held.Held(s.d.clk.Now(), ident.Instance(req.GetInstance()))
-	return &wire.HeldDeparturesReply{Departures: departuresToWire(held)}, nil
+	return &wire.HeldDeparturesReply{Departures: departuresToWire(held), Incomplete: !isClosed(s.d.departures.listed)}, nil
 }
 
 // Draw implements wire.InnerServer.
--- a/daemon/store_state.go
+++ b/daemon/store_state.go
@@ -44,6 +44,13 @@
 	}
 }
 
+// isStoreLost reports whether the store was unavailable at the last call.
+func (d *Daemon) isStoreLost() bool {
+	d.storeState.mu.Lock()
+	defer d.storeState.mu.Unlock()
+	return d.storeState.lost
+}
+
 // storeResult returns the metric label for the result of a store call.
 func storeResult(err error) string {
 	var unavailable *store.UnavailableError
