once, guard, entry: answers that have arrived make room for those that are asked for

Cause: a guard keeps the answer of each one-time request until 30 s after its deadline, 4 MiB together, for a sender that may ask again. Nothing told it which senders have their answer, so the room filled up with those, and each further answer was dropped, also one that its sender was asking for.

Ruled out: more room (moves the moment); dropping the oldest (with large answers or long deadlines its sender still asks).

Change: the next request of a daemon to a guard names the answers that have arrived, by sequence number. Those to its own entry count as arrived at once.

--- a/entry/guardclient.go
+++ b/entry/guardclient.go
@@ -74,11 +74,14 @@
 	// checkingPaths holds the addresses that are being checked because a request
 	// there exceeded its deadline.
 	checkingPaths map[string]bool
+	// received holds, by the peer's inner address, the sequences of the one-time requests
+	// whose answers have arrived, until the next request there tells the peer.
+	received map[string][]uint64
 }
 
 func newGuardClient(baseCtx context.Context, d Deps) *guardClient {
 	return &guardClient{
-		baseCtx: baseCtx, inFlight: map[string]int{}, checkingPaths: map[string]bool{},
+		baseCtx: baseCtx, inFlight: map[string]int{}, checkingPaths: map[string]bool{}, received: map[string][]uint64{},
 		instance: d.Instance, region: d.Region, incarnation: d.Incarnation, clk: d.Clock, log: d.Log,
 		guard: d.Guard, peers: d.Peers, picker: d.Picker, fleet: d.Fleet, meter: d.Meter,
 	}
@@ -99,6 +102,7 @@
 		}
 		return outsideReply(req), nil
 	}
+	req.Received = g.takeReceived(address)
 	reply, err := g.callRemote(ctx, address, withoutContent(req))
 	if reply := refusedBody(req, err); reply != nil {
 		g.picker.MarkPathReachable(to)
@@ -114,9 +118,40 @@
 		return nil, err
 	}
 	g.picker.MarkPathReachable(to)
+	if req.GetOneTime() && req.GetAttempt() != "" && reply.GetAnswer() != nil {
+		g.addReceived(address, req.GetSequence())
+	}
 	return reply, nil
 }
 
+// maxReceived bounds the answers whose arrival is not yet known to a peer, and
+// maxReceivedPeers the number of such peers. A peer keeps the answer to a request without
+// confirmation until the deadline of that request.
+const (
+	maxReceived      = 64
+	maxReceivedPeers = 4096
+)
+
+// addReceived notes that the answer to a one-time request has arrived.
+func (g *guardClient) addReceived(address string, sequence uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := g.received[address]
+	if len(list) < maxReceived && (len(list) > 0 || len(g.received) < maxReceivedPeers) {
+		g.received[address] = append(list, sequence)
+	}
+}
+
+// takeReceived returns the answers that have arrived from a peer since the last request
+// there.
+func (g *guardClient) takeReceived(address string) []uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := g.received[address]
+	delete(g.received, address)
+	return list
+}
+
 // callRelay sends a request to an instance through another daemon, unless one of them is
 // where the request may not be sent.
 func (g *guardClient) callRelay(ctx context.Context, to ident.Instance, relay Peer, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
--- a/entry/peer_path_test.go
+++ b/entry/peer_path_test.go
@@ -307,3 +307,43 @@
 		t.Errorf("the lookup failed: %v", err)
 	}
 }
+
+// confirmedDaemon answers requests and records which answers their sender says it has.
+type confirmedDaemon struct {
+	wire.UnimplementedInnerServer
+
+	received [][]uint64
+}
+
+// Forward implements wire.InnerServer.
+func (d *confirmedDaemon) Forward(_ context.Context, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	d.received = append(d.received, req.GetReceived())
+	return &wire.ForwardReply{Sequence: req.GetSequence(), SenderIncarnation: req.GetSenderIncarnation(), Answer: &wire.Answer{Status: 200}}, nil
+}
+
+// TestArrivedAnswersAreConfirmed guards against a guard that keeps the answers of one-time
+// requests for a sender that has them: the next request there confirms each of them once.
+func TestArrivedAnswersAreConfirmed(t *testing.T) {
+	d := &confirmedDaemon{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := grpc.NewServer()
+	wire.RegisterInnerServer(srv, d)
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(srv.Stop)
+	s := newTestEntry(t, [2]string{okAnswer, okAnswer})
+	var sent []uint64
+	for i := range 4 {
+		req := &wire.ForwardRequest{OneTime: i != 2, Attempt: fmt.Sprint("a", i)}
+		if _, err := s.client.call(context.Background(), "remote", l.Addr().String(), req); err != nil {
+			t.Fatal(err)
+		}
+		sent = append(sent, req.GetSequence())
+	}
+	want := [][]uint64{nil, {sent[0]}, {sent[1]}, nil}
+	if fmt.Sprint(d.received) != fmt.Sprint(want) {
+		t.Errorf("the requests confirm %v, want %v", d.received, want)
+	}
+}
--- a/entry/regions.go
+++ b/entry/regions.go
@@ -109,5 +109,6 @@
 		Target: req.GetTarget(), Service: req.GetService(), Team: req.GetTeam(), OneTime: req.GetOneTime(), Ticket: req.GetTicket(),
 		VoidOnly: true, TimeoutMs: req.GetTimeoutMs(), RelayTo: req.GetRelayTo(), Attempt: req.GetAttempt(),
 		HomeIncarnation: req.GetHomeIncarnation(), Regions: req.GetRegions(), NoRegion: req.GetNoRegion(),
+		Received: req.GetReceived(),
 	}
 }
--- a/guard/attempts.go
+++ b/guard/attempts.go
@@ -53,18 +53,39 @@
 
 // finish records the answer or the refusal of a running attempt and wakes the
 // requests that wait for it.
-func (tr *attemptTracker) finish(id string, a *wire.Answer, r *fault.Refusal) {
+func (tr *attemptTracker) finish(now clock.Millis, id string, a *wire.Answer, r *fault.Refusal) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	if r != nil {
-		tr.table.Finish(id, nil, r)
+		tr.table.Finish(now, id, nil, r)
 	} else {
-		tr.table.Finish(id, toCachedAnswer(a), nil)
+		tr.table.Finish(now, id, toCachedAnswer(a), nil)
 	}
 	close(tr.running[id])
 	delete(tr.running, id)
 }
 
+// recordReply records that the answer to a request is sent to its sender. One that has
+// arrived, because the sender is this daemon, is confirmed at once.
+func (tr *attemptTracker) recordReply(req *wire.ForwardRequest, hasArrived bool) {
+	d := once.Delivery{Sender: ident.Incarnation(req.GetSenderIncarnation()), Sequence: req.GetSequence()}
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.table.RecordReply(req.GetAttempt(), d)
+	if hasArrived {
+		tr.table.ConfirmReply(d)
+	}
+}
+
+// confirmReplies records that the answers to earlier requests of a sender have arrived.
+func (tr *attemptTracker) confirmReplies(sender ident.Incarnation, sequences []uint64) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	for _, n := range sequences {
+		tr.table.ConfirmReply(once.Delivery{Sender: sender, Sequence: n})
+	}
+}
+
 // forwardAttempt serves a one-time request that carries an attempt ID of its
 // caller. A sender that lost the answer sends the request again with VoidOnly
 // set: it gets the recorded answer, or a refusal that says that nothing ran.
@@ -73,6 +94,11 @@
 		setRefusal(reply, fault.Unknown(fault.HomeGone, "the daemon that took this action has ended: look the action up"))
 		return
 	}
+	defer func() {
+		if reply.GetAnswer() != nil {
+			g.attempts.recordReply(req, ident.Incarnation(req.GetSenderIncarnation()) == g.cfg.Incarnation)
+		}
+	}()
 	for {
 		decision, ended := g.attempts.begin(g.clk.Now(), req)
 		switch decision := decision.(type) {
@@ -114,12 +140,12 @@
 		} else {
 			res.answer, res.refusal, res.arrived = g.serve(ctx, t, req)
 		}
-		g.attempts.finish(req.GetAttempt(), res.answer, res.refusal)
+		g.attempts.finish(g.clk.Now(), req.GetAttempt(), res.answer, res.refusal)
 		done <- res
 	})
 	if err != nil {
 		r := fault.NotRun(fault.QueueFull, "daemon is busy: repeat after the given time").WithRetryAfter(clock.Second)
-		g.attempts.finish(req.GetAttempt(), nil, r)
+		g.attempts.finish(g.clk.Now(), req.GetAttempt(), nil, r)
 		setRefusal(reply, r)
 		return
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -494,6 +494,9 @@
 // it waits for a slot.
 func (g *Guard) Forward(ctx context.Context, req *wire.ForwardRequest) *wire.ForwardReply {
 	reply := &wire.ForwardReply{Sequence: req.GetSequence(), SenderIncarnation: req.GetSenderIncarnation()}
+	if len(req.GetReceived()) > 0 {
+		g.attempts.confirmReplies(ident.Incarnation(req.GetSenderIncarnation()), req.GetReceived())
+	}
 	if req.GetOneTime() && req.GetAttempt() != "" {
 		g.forwardAttempt(ctx, req, reply)
 		return reply
--- a/once/attempt_table_test.go
+++ b/once/attempt_table_test.go
@@ -58,11 +58,11 @@
 				if model.running {
 					model.running = false
 					if rapid.Bool().Draw(rt, "refused") {
-						a.Finish(id, nil, fault.NotRun(fault.QueueFull, "full"))
+						a.Finish(now, id, nil, fault.NotRun(fault.QueueFull, "full"))
 						model.runs--
 						model.neverRuns = true
 					} else {
-						a.Finish(id, &Answer{Status: 200, Body: []byte(id)}, nil)
+						a.Finish(now, id, &Answer{Status: 200, Body: []byte(id)}, nil)
 						model.answered = true
 					}
 				}
@@ -70,7 +70,7 @@
 			case 5:
 				if !model.running {
 					// A second report of the end must change nothing.
-					a.Finish(id, &Answer{Status: 200, Body: []byte("other")}, nil)
+					a.Finish(now, id, &Answer{Status: 200, Body: []byte("other")}, nil)
 				}
 				continue
 			case 4:
@@ -129,7 +129,7 @@
 	for i := range 5 {
 		id := fmt.Sprint(i)
 		a.Begin(1, id, 50)
-		a.Finish(id, &Answer{Body: make([]byte, 100)}, nil)
+		a.Finish(1, id, &Answer{Body: make([]byte, 100)}, nil)
 	}
 	a.Begin(151, "later", 200)
 	if a.Len() != 1 || a.cachedBytes != 0 {
--- a/once/ticket_table.go
+++ b/once/ticket_table.go
@@ -110,6 +110,9 @@
 	answer *Answer
 	// refusal is returned to repeats in stateVoid and stateFailed.
 	refusal *fault.Refusal
+	// deliveries are the replies with the answer of an attempt whose arrival has not been
+	// confirmed.
+	deliveries []Delivery
 }
 
 // ticketBatch counts the tickets that one call of Issue returned.
