entry: a request that may have run gets no 4xx where callers send attempt IDs

A 4xx of our own tells them that the request is not allowed, and they do not look it up.

Cause: the status of a refusal with an unknown outcome was replaced by 502 or 504 only if it would otherwise be 408, 429, 499 or 5xx.

Change: an unknown outcome always has 502 or 504 for callers that send attempt IDs. The own interface is unchanged.

--- a/entry/http.go
+++ b/entry/http.go
@@ -11,7 +11,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"chestnutlatch/answer"
 	"chestnutlatch/clock"
 	"chestnutlatch/fault"
 	"chestnutlatch/guard"
@@ -206,19 +205,19 @@
 }
 
 // statusOf returns the HTTP status of a refusal. Callers that send their own attempt
-// IDs read 408, 429 and 503 as proof that the request has not run. For them, a
-// refusal with status 408, 429, 499 or from 500 on gets 502 or 504 if its outcome is
-// unknown. If the request has not run, 408 and 429 stay and the others become 503.
+// IDs read 408, 429 and 503 as proof that the request has not run, and other 4xx as a
+// request that is not allowed. For them, a refusal gets 502 or 504 if its outcome is
+// unknown. If the request has not run, 499 and those from 500 on become 503.
 func (e *Entry) statusOf(r *fault.Refusal) int {
 	status := r.Status()
 	switch {
-	case !e.usesAttemptIDs() || status < fasthttp.StatusInternalServerError && !answer.PromisesNotRun(status) && r.Kind != fault.Canceled:
+	case !e.usesAttemptIDs():
 		return status
 	case r.Outcome == ident.OutcomeUnknown && r.Kind == fault.DeadlineExceeded:
 		return fasthttp.StatusGatewayTimeout
 	case r.Outcome == ident.OutcomeUnknown:
 		return fasthttp.StatusBadGateway
-	case answer.PromisesNotRun(status):
+	case status < fasthttp.StatusInternalServerError && r.Kind != fault.Canceled:
 		return status
 	default:
 		return fasthttp.StatusServiceUnavailable
--- a/entry/http_dispatch_test.go
+++ b/entry/http_dispatch_test.go
@@ -95,13 +95,14 @@
 }
 
 // TestStatusMatchesOutcome covers callers that read 408, 421, 429 and 503 as proof
-// that the request has not run.
+// that the request has not run, and other 4xx as a request that is not allowed: one that
+// may have run gets neither.
 func TestStatusMatchesOutcome(t *testing.T) {
 	s := newTestEntry(t, [2]string{okAnswer, okAnswer})
 	s.Dialect = guard.Dialect{AttemptID: "X-Id", Timeout: "X-Left"}
 	for _, kind := range fault.KindValues() {
 		notRun, unknown := fault.NotRun(kind, ""), fault.Unknown(kind, "")
-		if got := s.statusOf(unknown); got == 429 || got == 503 || got == 408 || got == 421 {
+		if got := s.statusOf(unknown); got != 502 && got != 504 {
 			t.Errorf("%s with an unknown outcome has status %d", kind, got)
 		}
 		if got := s.statusOf(notRun); got == 499 || got == 502 || got == 504 {
