guard: idle connections to a target that have gone silent are not reused

What callers would see: after the connections to a target had gone silent, one-time requests there are lost one after the other, each at its deadline, until the idle connections are used up.

Cause: on a platform a request on a reused connection waits for its deadline, because breaking off slow work had been a fault, and only its end closed the idle connections.

Ruled out: breaking off the request; TCP_USER_TIMEOUT (it also ends a connection whose target pauses while it reads a long body).

Change: when an answer is overdue on a reused connection and no other reused one has delivered a byte since, the idle ones are closed, once. The request itself goes on.

TestSilentConnectionsAreNotReused failed before: the first request ended at its deadline of 20 s with the idle connections still kept. Left: requests that hang hold their slots until their deadline.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -52,6 +52,10 @@
 	// longBodyBytes is the size, in bytes, above which a request's body is written
 	// while the answer is read. Shorter bodies fit into the socket's buffer.
 	longBodyBytes = 4 << 10
+	// overdueFactor is the multiple of the usual time of an exchange after which the first
+	// byte on a reused connection is overdue, and minOverdueTime the shortest such time.
+	overdueFactor  = 4
+	minOverdueTime = time.Second
 	// uploadEndTime is how long a target may go on reading a request after it has ended its
 	// answer by closing its side of the connection.
 	uploadEndTime = time.Second
@@ -110,6 +114,9 @@
 	// memoryTaken what it has taken from memory for them.
 	bytesRead, memoryTaken int
 	memory                 AnswerMemory
+	// onFirstByte is called when the first byte of an exchange arrives; nil until the
+	// connection has been kept for reuse.
+	onFirstByte func()
 	// noMemory is true if memory had nothing left for the current exchange.
 	noMemory bool
 	// idleLimit is how long the connection may be idle and still be reused, in
@@ -129,8 +136,8 @@
 	n, err := c.Conn.Read(b)
 	c.readLimit -= n
 	c.bytesRead += n
-	if n > 0 {
-		c.receivedByte.Store(true)
+	if n > 0 && !c.receivedByte.Swap(true) && c.onFirstByte != nil {
+		c.onFirstByte()
 	}
 	c.noteLost(err)
 	for c.bytesRead > smallAnswerBytes+c.memoryTaken && c.memoryTaken < c.maxBody {
@@ -208,6 +215,11 @@
 	keepAlive bool
 	clk       clock.Clock
 	memory    AnswerMemory
+	// typicalLatency returns the usual time of an exchange, in microseconds; nil means that
+	// it is not known.
+	typicalLatency func() float64
+	// heardAt is the time of the last first byte of an answer on a reused connection.
+	heardAt atomic.Int64
 	// onLost is called when a connection was refused, or was closed or reset by the
 	// target; nil means that nothing is called.
 	onLost func()
@@ -312,6 +324,7 @@
 // put keeps a connection after a successful exchange.
 func (p *connPool) put(c *targetConn) {
 	c.reused, c.idleSince = true, p.clk.Now()
+	c.onFirstByte = func() { p.heardAt.Store(int64(p.clk.Now())) }
 	p.keep(c)
 }
 
@@ -389,6 +402,9 @@
 	c.beginExchange(maxBody)
 	sentAt := p.clk.Now()
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
+	if c.reused {
+		defer time.AfterFunc(p.overdueTime(), func() { p.checkSilence(c, sentAt) }).Stop()
+	}
 	reusable, err := c.roundTrip(p.dialect, req, resp, maxBody, firstByte)
 	// Once the connection is kept, another exchange may use it.
 	c.endExchange()
@@ -412,6 +428,24 @@
 	return nil
 }
 
+// overdueTime returns the time after which the first byte on a reused connection is overdue.
+func (p *connPool) overdueTime() time.Duration {
+	if p.typicalLatency == nil {
+		return minOverdueTime
+	}
+	return max(time.Duration(p.typicalLatency()*overdueFactor)*time.Microsecond, minOverdueTime)
+}
+
+// checkSilence closes the idle connections if an answer is overdue on a reused connection and
+// no other reused one has delivered a byte since the request was sent: connections may go
+// silent without a reset while new ones work. The exchange itself goes on, because a slow
+// target looks the same.
+func (p *connPool) checkSilence(c *targetConn, sentAt clock.Millis) {
+	if !c.receivedByte.Load() && clock.Millis(p.heardAt.Load()) < sentAt {
+		p.closeAll()
+	}
+}
+
 // classifyError maps the error of a failed round trip to one of the errors of an
 // exchange, such as errTooLarge.
 func (p *connPool) classifyError(ctx context.Context, c *targetConn, err error) error {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -202,6 +202,7 @@
 func (g *Guard) addTarget(s TargetSpec) *target {
 	t := newTarget(s, g.cfg, g.clk, g.answerMemory)
 	t.cold = g.newColdGate(s)
+	t.conns.typicalLatency = t.typicalLatency
 	t.conns.onLost = func() { t.cold.markLost(s.Service) }
 	if previous := g.targets[s.ID]; previous != nil && previous.spec.Address != s.Address {
 		g.forgottenAt = g.clk.Now()
--- a/guard/stale_conn_test.go
+++ b/guard/stale_conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -12,6 +13,8 @@
 	"github.com/valyala/fasthttp"
 
 	"chestnutlatch/clock"
+	"chestnutlatch/link"
+	"chestnutlatch/wire"
 )
 
 // TestIdleLimitShrinksAfterReset covers a target that drops idle connections
@@ -93,3 +96,57 @@
 		}
 	}
 }
+
+// TestSilentConnectionsAreNotReused guards against one-time requests that are lost one after
+// the other, because all idle connections to their target have gone silent while new ones
+// work: the first of them shows it, long before its deadline.
+func TestSilentConnectionsAreNotReused(t *testing.T) {
+	const conns = 4
+	f := startFakeTarget(t, func(n, _ int64, c net.Conn) bool {
+		writeString(c, okResponseWithID(fmt.Sprint("a", n), "ok"))
+		return true
+	})
+	proxy, err := link.New(f.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = proxy.Close() })
+	g := newAttemptGuard(t, clock.NewSystem(), TargetSpec{ID: "t", Service: "svc", Address: proxy.Address(), Slots: conns})
+	pool := g.findTarget("t").conns
+	for range conns {
+		c, err := pool.dial(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		pool.put(c)
+	}
+	for proxy.Open() < conns {
+		time.Sleep(time.Millisecond)
+	}
+	proxy.Silence()
+	lost := make(chan *wire.ForwardReply, 1)
+	go func() {
+		req := attemptRequest("lost", true)
+		req.TimeoutMs = 20_000
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		lost <- g.Forward(ctx, req)
+	}()
+	idle := func() int {
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		return len(pool.idle)
+	}
+	for idle() > 0 {
+		select {
+		case reply := <-lost:
+			t.Fatalf("the request ended before the idle connections were given up: %v", reply)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	for i := 1; i < conns; i++ {
+		if reply := g.Forward(t.Context(), attemptRequest(fmt.Sprint("a", i), true)); reply.GetAnswer().GetStatus() != 200 {
+			t.Errorf("request %d was not answered: %v", i, reply.GetRefusal())
+		}
+	}
+}
