peers: bound the checks of silent connections

When a region is lost, the connections to all its daemons become suspect, and each check holds a connection of its own for up to 3 s. At most 16 run at a time; the next call that times out starts another one.

--- a/peers/conn.go
+++ b/peers/conn.go
@@ -24,6 +24,9 @@
 	// checkTimeout limits one check of a suspect connection. It allows for a lost packet
 	// while the new connection opens.
 	checkTimeout = 3 * time.Second
+	// maxChecks bounds the checks that run at a time: when a region is lost, all connections
+	// there become suspect, and a check holds a connection of its own.
+	maxChecks = 16
 )
 
 // conn is one connection to a peer, which all calls to it share. It is safe for concurrent
@@ -122,12 +125,19 @@
 // isSilentSince reports whether no bytes have arrived since a time.
 func (c *conn) isSilentSince(at clock.Millis) bool { return clock.Millis(c.heardAt.Load()) < at }
 
-// suspect starts a check if the connection is in use and silent since a time, and none runs.
+// suspect starts a check if the connection is in use and silent since a time, none runs, and
+// there are fewer than maxChecks on others.
 func (c *conn) suspect(since clock.Millis) {
 	if c.pool.clk.Now()-since < minSilence || !c.isSilentSince(since) || !c.pool.has(c) || !c.isChecking.CompareAndSwap(false, true) {
 		return
 	}
+	if c.pool.checks.Add(1) > maxChecks {
+		c.pool.checks.Add(-1)
+		c.isChecking.Store(false)
+		return
+	}
 	go func() {
+		defer c.pool.checks.Add(-1)
 		defer c.isChecking.Store(false)
 		c.check(since)
 	}()
--- a/peers/conn_test.go
+++ b/peers/conn_test.go
@@ -143,6 +143,33 @@
 	}
 }
 
+// TestChecksAreBounded guards against a check, with a connection of its own, for each peer of a
+// lost region at once.
+func TestChecksAreBounded(t *testing.T) {
+	pool := New(insecure.NewCredentials(), "secret", clock.NewSystem(), hclog.NewNullLogger())
+	t.Cleanup(pool.Close)
+	proxies := make([]*link.Proxy, 2*maxChecks)
+	var calls sync.WaitGroup
+	for i := range proxies {
+		proxy, err := link.New("127.0.0.1:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = proxy.Close() })
+		proxy.SetCut(true)
+		proxies[i] = proxy
+		calls.Go(func() {
+			if err := ping(t, pool, proxy.Address()); err == nil {
+				t.Error("a ping was answered during the cut")
+			}
+		})
+	}
+	calls.Wait()
+	if n := pool.checks.Load(); n == 0 || n > maxChecks {
+		t.Errorf("%d checks run, want 1 to %d", n, maxChecks)
+	}
+}
+
 // TestRemovedConnectionServesItsCalls guards against running requests that are lost when their
 // peer leaves the list of daemons, as it does while it finishes them in a planned stop.
 func TestRemovedConnectionServesItsCalls(t *testing.T) {
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -53,6 +53,8 @@
 	secret string
 	clk    clock.Clock
 	log    hclog.Logger
+	// checks is the number of running checks of silent connections.
+	checks atomic.Int32
 	// replaced counts the silent connections that were replaced.
 	replaced atomic.Int64
 
