guard, peers: no closure for each kept connection; comments

The function that records the first byte on a reused connection was made anew after each exchange. No change of behaviour.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -114,8 +114,8 @@
 	// memoryTaken what it has taken from memory for them.
 	bytesRead, memoryTaken int
 	memory                 AnswerMemory
-	// onFirstByte is called when the first byte of an exchange arrives; nil until the
-	// connection has been kept for reuse.
+	// onFirstByte is called when the first byte of an exchange arrives on a reused
+	// connection.
 	onFirstByte func()
 	// noMemory is true if memory had nothing left for the current exchange.
 	noMemory bool
@@ -136,7 +136,7 @@
 	n, err := c.Conn.Read(b)
 	c.readLimit -= n
 	c.bytesRead += n
-	if n > 0 && !c.receivedByte.Swap(true) && c.onFirstByte != nil {
+	if n > 0 && !c.receivedByte.Swap(true) && c.reused {
 		c.onFirstByte()
 	}
 	c.noteLost(err)
@@ -310,12 +310,12 @@
 		return nil, errors.Wrap(errDial, err.Error())
 	}
 	c := newTargetConn(raw, p.memory)
-	c.idleSince = p.clk.Now()
+	c.onFirstByte, c.idleSince = p.recordFirstByte, p.clk.Now()
 	return c, nil
 }
 
 func newTargetConn(raw net.Conn, memory AnswerMemory) *targetConn {
-	c := &targetConn{Conn: raw, idleLimit: defaultIdleLimit, memory: memory}
+	c := &targetConn{Conn: raw, idleLimit: defaultIdleLimit, memory: memory, onFirstByte: func() {}}
 	c.r = bufio.NewReader(c)
 	c.w = bufio.NewWriter(raw)
 	return c
@@ -324,7 +324,6 @@
 // put keeps a connection after a successful exchange.
 func (p *connPool) put(c *targetConn) {
 	c.reused, c.idleSince = true, p.clk.Now()
-	c.onFirstByte = func() { p.heardAt.Store(int64(p.clk.Now())) }
 	p.keep(c)
 }
 
@@ -428,6 +427,9 @@
 	return nil
 }
 
+// recordFirstByte records that a reused connection delivers an answer.
+func (p *connPool) recordFirstByte() { p.heardAt.Store(int64(p.clk.Now())) }
+
 // overdueTime returns the time after which the first byte on a reused connection is overdue.
 func (p *connPool) overdueTime() time.Duration {
 	if p.typicalLatency == nil {
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -58,8 +58,10 @@
 	// replaced counts the silent connections that were replaced.
 	replaced atomic.Int64
 
-	mu     sync.RWMutex
-	conns  map[string]*conn
+	mu sync.RWMutex
+	// conns holds the connection that new calls to an address use.
+	conns map[string]*conn
+	// closed is set by Close. No connection is opened then.
 	closed bool
 }
 
