--- a/entry/peer_path_test.go
+++ b/entry/peer_path_test.go
@@ -140,6 +140,12 @@
 
 // start starts the daemon's server and returns its address.
 func (d *failingDaemon) start(t *testing.T) string {
+	t.Helper()
+	return startInner(t, d)
+}
+
+// startInner starts a server of the inner protocol and returns its address.
+func startInner(t *testing.T, d wire.InnerServer) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -280,15 +286,7 @@
 func TestLostAnswerDoesNotEndOtherCalls(t *testing.T) {
 	d := &busyDaemon{lookups: make(chan struct{}, 1), released: make(chan struct{})}
 	d.failures.Store(3)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	srv := grpc.NewServer()
-	wire.RegisterInnerServer(srv, d)
-	go func() { _ = srv.Serve(l) }()
-	t.Cleanup(srv.Stop)
-	address := l.Addr().String()
+	address := startInner(t, d)
 	s := newTestEntry(t, [2]string{okAnswer, okAnswer})
 	s.client.fleet = &remoteFleet{address: address}
 	lookup := make(chan error, 1)
@@ -325,19 +323,12 @@
 // requests for a sender that has them: the next request there confirms each of them once.
 func TestArrivedAnswersAreConfirmed(t *testing.T) {
 	d := &confirmedDaemon{}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	srv := grpc.NewServer()
-	wire.RegisterInnerServer(srv, d)
-	go func() { _ = srv.Serve(l) }()
-	t.Cleanup(srv.Stop)
+	address := startInner(t, d)
 	s := newTestEntry(t, [2]string{okAnswer, okAnswer})
 	var sent []uint64
 	for i := range 4 {
 		req := &wire.ForwardRequest{OneTime: i != 2, Attempt: fmt.Sprint("a", i)}
-		if _, err := s.client.call(context.Background(), "remote", l.Addr().String(), req); err != nil {
+		if _, err := s.client.call(context.Background(), "remote", address, req); err != nil {
 			t.Fatal(err)
 		}
 		sent = append(sent, req.GetSequence())
